--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# VENV may point to an environment that already holds the dependencies.
+VENV ?= .venv
+PYTHON ?= python3
+RUN = PYTHONPATH=src:. PYTHONHASHSEED=0 $(VENV)/bin/python
+PATHS = src tests bench
+
+.PHONY: demo test lint format types bench binary fuzz docs clean
+
+$(VENV)/.installed: pyproject.toml
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e '.[dev]' 2>&1 | grep -v 'is ignored' || true
+	$(VENV)/bin/python -c "import aiohttp, sanic, nose2, ruff"
+	touch $@
+
+demo: $(VENV)/.installed
+	$(RUN) -m bench demo
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/ruff format --check $(PATHS)
+	$(VENV)/bin/ruff check $(PATHS)
+
+types: $(VENV)/.installed
+	$(VENV)/bin/mypy
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff check --fix --quiet $(PATHS) || true
+	$(VENV)/bin/ruff format $(PATHS)
+
+test: lint types
+	$(RUN) -m nose2 -v
+
+bench: $(VENV)/.installed
+	$(RUN) -m bench report
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool, run as ``python -m bench NAME --json``."""
--- /dev/null
+++ b/src/geraniumbend/_model.py
@@ -0,0 +1,171 @@
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class BackendServer(NamedTuple):
+    """A backend server as it announced itself.
+
+    Parameters
+    ----------
+    server_id : str
+        Name chosen by the backend server, unique in the cluster.
+    host : str
+        IP address.
+    port : int
+        TCP port.
+    failure_domain : str, default=""
+        Failure domain that the server runs in.
+    labels : dict of str to str, default={}
+        Announced labels, with operators' overrides already applied.
+    slots : int, default=1
+        Requests that the server runs at the same time.
+    connection_limit : int, default=220
+        Connections that the server accepts from all gateways together.
+    incarnation : int, default=0
+        Grows with each restart of the server.
+    draining : bool, default=False
+        The server takes no new work.
+    stale : bool, default=False
+        The lease expired during a mass loss of announcements.
+    """
+
+    server_id: str
+    host: str
+    port: int
+    failure_domain: str = ""
+    labels: dict[str, str] = {}  # noqa: RUF012
+    slots: int = 1
+    connection_limit: int = 220
+    incarnation: int = 0
+    draining: bool = False
+    stale: bool = False
+
+
+class Group(NamedTuple):
+    """A set of backend servers chosen by labels.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    selector : str
+        Label selector, for example ``app=classes,tier in (a,b)``.
+    load_cost_share : float, default=0.01
+        Share of the servers' capacity that measuring load may cost.
+    policy : str, default="default"
+        Name of the routing policy.
+    """
+
+    name: str
+    selector: str
+    load_cost_share: float = 0.01
+    policy: str = "default"
+
+
+class RuleMatch(NamedTuple):
+    """Conditions on a request; empty fields match everything.
+
+    Parameters
+    ----------
+    host : str, default=""
+        Host header without port; ``*.example`` matches subdomains.
+    path_prefix : str, default=""
+        Prefix of the path.
+    path_pattern : str, default=""
+        Pattern with ``*`` for one path segment and ``**`` for any rest.
+    methods : tuple of str, default=()
+        HTTP methods in upper case.
+    headers : dict of str to str, default={}
+        Header names in lower case with required values; ``*`` requires presence.
+    """
+
+    host: str = ""
+    path_prefix: str = ""
+    path_pattern: str = ""
+    methods: tuple[str, ...] = ()
+    headers: dict[str, str] = {}  # noqa: RUF012
+
+
+class RetrySettings(NamedTuple):
+    """Retries of a rule.
+
+    Parameters
+    ----------
+    attempts : int, default=2
+        Backend servers tried at most.
+    hedge : bool, default=True
+        Send a second copy of slow safe requests.
+    """
+
+    attempts: int = 2
+    hedge: bool = True
+
+
+class OrderSettings(NamedTuple):
+    """Handling of non-idempotent orders of a rule.
+
+    Parameters
+    ----------
+    key_header : str, default="Idempotency-Key"
+        Header that carries the key.
+    keyless : {"refuse", "once"}, default="refuse"
+        Whether an order without key is refused or run once without retry.
+    """
+
+    key_header: str = "Idempotency-Key"
+    keyless: str = "refuse"
+
+
+class Rule(NamedTuple):
+    """Sends matching requests to a group.
+
+    Parameters
+    ----------
+    name : str
+        Unique name.
+    group : str
+        Name of the group.
+    match : RuleMatch, default=RuleMatch()
+        Conditions on the request.
+    request_class : str, default="default"
+        Class for learned cost and metrics.
+    deadline_s : float, default=10.0
+        Time for the whole answer when the caller states none, in seconds.
+    retry : RetrySettings, default=RetrySettings()
+        Retries.
+    order : OrderSettings or None, default=None
+        Set when matching requests are non-idempotent orders.
+    priority : int, default=0
+        Rules with higher priority are matched first.
+    """
+
+    name: str
+    group: str
+    match: RuleMatch = RuleMatch()
+    request_class: str = "default"
+    deadline_s: float = 10.0
+    retry: RetrySettings = RetrySettings()
+    order: OrderSettings | None = None
+    priority: int = 0
+
+
+class Configuration(NamedTuple):
+    """One revision of groups, rules and label overrides; never changed in place.
+
+    Parameters
+    ----------
+    revision : int, default=0
+        Grows by one with each accepted change.
+    groups : dict of str to Group, default={}
+        Groups by name.
+    rules : dict of str to Rule, default={}
+        Rules by name.
+    label_overrides : dict of str to dict, default={}
+        Labels set by operators, by server id; an empty value removes a label.
+    """
+
+    revision: int = 0
+    groups: dict[str, Group] = {}  # noqa: RUF012
+    rules: dict[str, Rule] = {}  # noqa: RUF012
+    label_overrides: dict[str, dict[str, str]] = {}  # noqa: RUF012
--- /dev/null
+++ b/src/geraniumbend/_settings.py
@@ -0,0 +1,275 @@
+from __future__ import annotations
+
+import re
+import tomllib
+from difflib import get_close_matches
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from geraniumbend.errors import SettingsError
+
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Positive = Annotated[float, Meta(gt=0)]
+
+
+class _Table(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Base of all tables; unknown keys are errors."""
+
+
+class NodeSettings(_Table, frozen=True):
+    """Identity of the process."""
+
+    name: Annotated[str, Meta(min_length=1, description="Unique name of the process.")]
+    address: Annotated[str, Meta(description="IP address that peers use.")] = (
+        "127.0.0.1"
+    )
+    failure_domain: Annotated[str, Meta(description="Failure domain of the host.")] = ""
+    region: Annotated[str, Meta(description="Region of the host.")] = ""
+    log_level: Annotated[str, Meta(description="debug, info, warning or error.")] = (
+        "info"
+    )
+
+
+class TlsSettings(_Table, frozen=True):
+    """Certificate files of a listener or a client."""
+
+    certificate: Annotated[str, Meta(description="PEM file with the chain.")] = ""
+    key: Annotated[str, Meta(description="PEM file with the private key.")] = ""
+    authority: Annotated[str, Meta(description="PEM file of trusted issuers.")] = ""
+
+
+class ListenSettings(_Table, frozen=True):
+    """A listening socket."""
+
+    host: Annotated[str, Meta(description="IP address to listen on.")] = "127.0.0.1"
+    port: Annotated[Port, Meta(description="Port; 0 takes a free one.")] = 0
+    tls: Annotated[TlsSettings | None, Meta(description="TLS; off when absent.")] = None
+
+
+class KeySettings(_Table, frozen=True):
+    """A cluster key; the first one signs, all are accepted."""
+
+    number: Annotated[int, Meta(ge=0, le=255, description="Number of the key.")]
+    secret: Annotated[str, Meta(min_length=16, description="Shared secret.")]
+
+
+class PeerSettings(_Table, frozen=True):
+    """Traffic between the processes of the cluster."""
+
+    listen: Annotated[ListenSettings, Meta(description="TCP and UDP socket.")] = (
+        ListenSettings()
+    )
+    seeds: Annotated[
+        list[str], Meta(description="Peer addresses, ip:port, to join through.")
+    ] = []
+    minimum_gateways: Annotated[
+        int, Meta(ge=1, description="Gateways assumed at least when sharing budgets.")
+    ] = 1
+    bytes_per_second: Annotated[
+        int, Meta(ge=1000, description="Gossip bytes sent per second at most.")
+    ] = 18_000
+
+
+class GatewaySettings(_Table, frozen=True):
+    """The gateway role."""
+
+    caller: Annotated[ListenSettings, Meta(description="Listener for callers.")] = (
+        ListenSettings()
+    )
+    announce: Annotated[
+        ListenSettings,
+        Meta(description="Listener for announcements, health, state and metrics."),
+    ] = ListenSettings()
+    control: Annotated[
+        list[str], Meta(description="Peer addresses, ip:port, of control hosts.")
+    ] = []
+    drain_delay_s: Annotated[
+        float, Meta(ge=0, description="Seconds unready before accepting stops.")
+    ] = 2.0
+    drain_limit_s: Annotated[
+        Positive, Meta(description="Seconds that requests in flight may still take.")
+    ] = 300.0
+    sheet_header: Annotated[
+        str, Meta(description="Header that names one open of a sheet.")
+    ] = "Sheet-Open"
+    caller_header: Annotated[
+        str, Meta(description="Header that identifies the caller.")
+    ] = "Authorization"
+    header_limit_bytes: Annotated[
+        int, Meta(ge=1024, description="Bytes of all request headers at most.")
+    ] = 16_384
+    header_timeout_s: Annotated[
+        Positive, Meta(description="Seconds for a caller to send all headers.")
+    ] = 10.0
+    body_idle_timeout_s: Annotated[
+        Positive, Meta(description="Seconds without progress on a body.")
+    ] = 20.0
+    queue_limit: Annotated[
+        int, Meta(ge=1, description="Requests queued per group at most.")
+    ] = 512
+    backend_tls: Annotated[
+        TlsSettings | None, Meta(description="TLS to backend servers; off if absent.")
+    ] = None
+
+
+class TokenSettings(_Table, frozen=True):
+    """A token of an operator."""
+
+    name: Annotated[str, Meta(description="Name shown in the history.")]
+    hash: Annotated[str, Meta(description="Output of geraniumbend token hash.")]
+    role: Annotated[str, Meta(description="read or write.")] = "read"
+
+
+class ControlSettings(_Table, frozen=True):
+    """The control role."""
+
+    data_folder: Annotated[str, Meta(description="Folder of the durable state.")] = (
+        "data"
+    )
+    operators: Annotated[ListenSettings, Meta(description="Operators' API.")] = (
+        ListenSettings()
+    )
+    voters: Annotated[
+        dict[str, str],
+        Meta(description="First voters: node name to peer address ip:port."),
+    ] = {}
+    order_shards: Annotated[
+        int, Meta(ge=1, le=256, description="Logs that orders are spread over.")
+    ] = 1
+    election_timeout_s: Annotated[
+        Positive, Meta(description="Shortest election timeout in seconds.")
+    ] = 0.5
+    heartbeat_s: Annotated[
+        Positive, Meta(description="Seconds between heartbeats of a leader.")
+    ] = 0.1
+    tokens: Annotated[list[TokenSettings], Meta(description="Operators' tokens.")] = []
+
+
+class Settings(_Table, frozen=True):
+    """A whole settings file."""
+
+    node: Annotated[NodeSettings, Meta(description="Identity of the process.")]
+    keys: Annotated[list[KeySettings], Meta(description="Cluster keys.")] = []
+    peer: Annotated[PeerSettings, Meta(description="Traffic between processes.")] = (
+        PeerSettings()
+    )
+    gateway: Annotated[
+        GatewaySettings, Meta(description="Settings of the gateway role.")
+    ] = GatewaySettings()
+    control: Annotated[
+        ControlSettings, Meta(description="Settings of the control role.")
+    ] = ControlSettings()
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        TOML file.
+
+    Returns
+    -------
+    Settings
+        Checked settings.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or is invalid; names file, line and key.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f"{path} cannot be read: {error}", "check the path and its permissions"
+        ) from error
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, source: str = "settings") -> Settings:
+    """Check the text of a settings file.
+
+    Parameters
+    ----------
+    text : str
+        TOML document.
+    source : str, default="settings"
+        Name of the document in error messages.
+
+    Returns
+    -------
+    Settings
+        Checked settings.
+
+    Raises
+    ------
+    SettingsError
+        If the document is invalid.
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(
+            f"{source} is no TOML: {error}", "correct the syntax at that place"
+        ) from error
+    try:
+        return msgspec.convert(document, Settings)
+    except msgspec.ValidationError as error:
+        raise _explain(text, source, str(error)) from error
+
+
+def _explain(text: str, source: str, problem: str) -> SettingsError:
+    message, _, path = problem.partition(" - at `$")
+    path = path.strip("`").lstrip(".")
+    unknown = re.search(r"unknown field `([^`]+)`", message)
+    key = unknown.group(1) if unknown else re.sub(r"\[.*?\]$", "", path).split(".")[-1]
+    line = _find_line(text, path, key)
+    place = f"{source}:{line}" if line else source
+    full = ".".join(part for part in (path, key if unknown else "") if part)
+    remedy = "correct the value; geraniumbend config reference lists all keys"
+    if unknown:
+        near = get_close_matches(key, _known_keys(Settings), n=1)
+        remedy = f"did you mean {near[0]!r}" if near else "remove the key"
+    return SettingsError(f"{place}: {full or 'document'}: {message}", remedy)
+
+
+def _find_line(text: str, path: str, key: str) -> int:
+    if not key:
+        return 0
+    parts = [part for part in re.sub(r"\[.*?\]", "", path).split(".") if part]
+    table = ""
+    found = 0
+    for number, line in enumerate(text.splitlines(), start=1):
+        header = re.match(r"\s*\[+\s*([^\]]+?)\s*\]+", line)
+        if header:
+            table = header.group(1)
+            if table.split(".")[-1] == key:
+                return number
+        elif re.match(rf"\s*[\"']?{re.escape(key)}[\"']?\s*[=.]", line):
+            if ".".join(parts).startswith(table):
+                return number
+            found = found or number
+    return found
+
+
+def _known_keys(kind: Any) -> list[str]:
+    keys: list[str] = []
+    for field in msgspec.structs.fields(kind):
+        keys.append(field.encode_name)
+        for nested in _nested_tables(field.type):
+            keys.extend(_known_keys(nested))
+    return keys
+
+
+def _nested_tables(kind: Any) -> list[Any]:
+    if isinstance(kind, type) and issubclass(kind, _Table):
+        return [kind]
+    nested: list[Any] = []
+    for part in getattr(kind, "__args__", ()):
+        nested.extend(_nested_tables(part))
+    return nested
--- /dev/null
+++ b/src/geraniumbend/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters that connect the decision modules to networks and disks."""
--- /dev/null
+++ b/src/geraniumbend/adapters/_rpc_server.py
@@ -0,0 +1,187 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from geraniumbend import errors
+from geraniumbend.adapters._frames import FrameChannel
+from geraniumbend.errors import GeraniumbendError, ProtocolError
+from geraniumbend.logs import declare_event, log_event
+from geraniumbend.wire import decode, encode, load_structs
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from geraniumbend.keys import KeyRing
+
+    Handler = Callable[[bytes], Awaitable[bytes]]
+
+HELLO_TIMEOUT_S = 5.0
+MAX_CALLS_PER_CONNECTION = 4096
+
+declare_event(
+    110, "peer_connection_rejected", "warning", "A peer connection broke the protocol."
+)
+declare_event(
+    111, "rpc_handler_failed", "error", "A handler raised an unexpected exception."
+)
+
+
+class RpcCounts(NamedTuple):
+    """Counters of a server.
+
+    Parameters
+    ----------
+    calls : int
+        Calls received.
+    rejected : int
+        Connections closed because of a bad frame.
+    """
+
+    calls: int
+    rejected: int
+
+
+class RpcServer:
+    """Serves calls of other processes; one task per connection.
+
+    Parameters
+    ----------
+    host : str
+        IP address to listen on.
+    port : int
+        TCP port; 0 takes a free one.
+    keys : KeyRing
+        Cluster keys.
+    """
+
+    def __init__(self, host: str, port: int, keys: KeyRing) -> None:
+        self.host = host
+        self.port = port
+        self._keys = keys
+        self._handlers: dict[str, Handler] = {}
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+        self._calls = 0
+        self._rejected = 0
+
+    @property
+    def counts(self) -> RpcCounts:
+        """Return the counters."""
+        return RpcCounts(self._calls, self._rejected)
+
+    def handle(self, method: str) -> Callable[[Handler], Handler]:
+        """Return a decorator that registers the handler of a method.
+
+        Parameters
+        ----------
+        method : str
+            Name of the method.
+
+        Returns
+        -------
+        callable
+            Decorator for ``async def handler(body: bytes) -> bytes``.
+        """
+
+        def register(handler: Handler) -> Handler:
+            self._handlers[method] = handler
+            return handler
+
+        return register
+
+    async def start(self) -> None:
+        """Listen for connections."""
+        self._server = await asyncio.start_server(
+            self._accept, self.host, self.port, limit=1024 * 1024
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._connections):
+            task.cancel()
+        await asyncio.gather(*self._connections, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        channel = FrameChannel(reader, writer, self._keys, is_client=False)
+        try:
+            await asyncio.wait_for(channel.open(), HELLO_TIMEOUT_S)
+            await self._serve(channel)
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
+            pass
+        except asyncio.CancelledError:
+            # The stream protocol logs a cancelled connection task as an error.
+            pass
+        except GeraniumbendError as error:
+            self._rejected += 1
+            peer = writer.get_extra_info("peername")
+            log_event(110, peer=str(peer), error=str(error))
+        finally:
+            channel.close()
+            self._connections.discard(task)
+
+    async def _serve(self, channel: FrameChannel) -> None:
+        structs = load_structs()
+        calls: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                request = decode(structs.RpcMessage, await channel.receive())
+                if len(calls) >= MAX_CALLS_PER_CONNECTION:
+                    raise ProtocolError(
+                        "peer has too many calls open", "wait for earlier calls"
+                    )
+                self._calls += 1
+                call = asyncio.ensure_future(self._answer(channel, request))
+                calls.add(call)
+                call.add_done_callback(calls.discard)
+        finally:
+            for call in list(calls):
+                call.cancel()
+
+    async def _answer(self, channel: FrameChannel, request: object) -> None:
+        structs = load_structs()
+        response = structs.RpcMessage(call_id=request.call_id)  # type: ignore[attr-defined]
+        try:
+            response.body = await self._dispatch(request)
+        except GeraniumbendError as error:
+            response.error_kind = type(error).__name__
+            response.error_message = error.message
+            response.error_remedy = error.remedy
+            response.error_detail = _describe_detail(error)
+        except Exception as error:
+            method = request.method  # type: ignore[attr-defined]
+            log_event(111, method=method, error=repr(error))
+            response.error_kind = "UnavailableError"
+            response.error_message = f"handler of {method} failed"
+            response.error_remedy = "look for event 111 in the peer's log"
+        try:
+            channel.send(encode(response))
+            await channel.drain()
+        except ConnectionError:
+            pass
+
+    async def _dispatch(self, request: object) -> bytes:
+        method = request.method  # type: ignore[attr-defined]
+        handler = self._handlers.get(method)
+        if handler is None:
+            raise ProtocolError(
+                f"method {method!r} is unknown here",
+                "check that both processes run compatible versions",
+            )
+        return await handler(request.body)  # type: ignore[attr-defined]
+
+
+def _describe_detail(error: GeraniumbendError) -> str:
+    if isinstance(error, errors.NotLeaderError):
+        return error.leader
+    if isinstance(error, errors.ConflictError):
+        return str(error.current_revision)
+    return ""
--- /dev/null
+++ b/src/geraniumbend/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests under overload."""
--- /dev/null
+++ b/src/geraniumbend/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/geraniumbend/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated configuration and its distribution."""
--- /dev/null
+++ b/src/geraniumbend/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Gossip, failure detection and announcements."""
--- /dev/null
+++ b/src/geraniumbend/orders/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of orders."""
--- /dev/null
+++ b/src/geraniumbend/proxying/__init__.py
@@ -0,0 +1,1 @@
+"""Handling of one request from start to end."""
--- /dev/null
+++ b/src/geraniumbend/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash backend servers."""
--- /dev/null
+++ b/src/geraniumbend/replication/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log with elections and snapshots."""
--- /dev/null
+++ b/src/geraniumbend/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets, hedging and deadlines."""
--- /dev/null
+++ b/src/geraniumbend/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Processes assembled from settings."""
--- /dev/null
+++ b/src/geraniumbend/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server for a request."""
--- /dev/null
+++ b/src/geraniumbend/settings.py
@@ -0,0 +1,31 @@
+"""Settings of all roles, read from TOML."""
+
+from __future__ import annotations
+
+from geraniumbend._settings import (
+    ControlSettings,
+    GatewaySettings,
+    KeySettings,
+    ListenSettings,
+    NodeSettings,
+    PeerSettings,
+    Settings,
+    TlsSettings,
+    TokenSettings,
+    load_settings,
+    parse_settings,
+)
+
+__all__ = [
+    "ControlSettings",
+    "GatewaySettings",
+    "KeySettings",
+    "ListenSettings",
+    "NodeSettings",
+    "PeerSettings",
+    "Settings",
+    "TlsSettings",
+    "TokenSettings",
+    "load_settings",
+    "parse_settings",
+]
--- /dev/null
+++ b/src/geraniumbend/wire/__init__.py
@@ -0,0 +1,7 @@
+"""Thrift structs of the protocol between processes, and their codec."""
+
+from __future__ import annotations
+
+from geraniumbend.wire._codec import decode, encode, load_structs
+
+__all__ = ["decode", "encode", "load_structs"]
--- /dev/null
+++ b/tests/adapters/test_rpc.py
@@ -0,0 +1,102 @@
+from __future__ import annotations
+
+import asyncio
+import os
+import unittest
+
+from geraniumbend.adapters.rpc import RpcClient, RpcServer
+from geraniumbend.errors import NotLeaderError, UnavailableError
+from geraniumbend.keys import KeyRing
+
+SECRET = b"0123456789abcdef"
+
+
+class RpcTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = RpcServer("127.0.0.1", 0, KeyRing([(1, SECRET)]))
+
+        @self.server.handle("echo")
+        async def echo(body):
+            return body
+
+        @self.server.handle("follow")
+        async def follow(body):
+            raise NotLeaderError("not here", "ask the leader", "127.0.0.1:9")
+
+        @self.server.handle("hang")
+        async def hang(body):
+            await asyncio.sleep(60)
+            return b""
+
+        await self.server.start()
+        self.address = f"127.0.0.1:{self.server.port}"
+        self.client = RpcClient(self.address, KeyRing([(1, SECRET)]))
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.server.stop()
+
+    async def test_concurrent_calls_get_their_own_answers(self):
+        bodies = [os.urandom(100) for _ in range(50)]
+        calls = [self.client.call("echo", body, 2) for body in bodies]
+        self.assertEqual(await asyncio.gather(*calls), bodies)
+
+    async def test_typed_error_crosses_the_wire_with_its_detail(self):
+        with self.assertRaises(NotLeaderError) as caught:
+            await self.client.call("follow", b"", 2)
+        self.assertEqual(caught.exception.leader, "127.0.0.1:9")
+
+    async def test_slow_call_times_out_and_others_go_on(self):
+        with self.assertRaises(UnavailableError):
+            await self.client.call("hang", b"", 0.05)
+        self.assertEqual(await self.client.call("echo", b"x", 2), b"x")
+
+    async def test_frame_signed_with_another_key_is_rejected_and_counted(self):
+        stranger = RpcClient(self.address, KeyRing([(1, b"another-secret-16")]))
+        with self.assertRaises(UnavailableError):
+            await stranger.call("echo", b"x", 1)
+        self.assertEqual(self.server.counts.rejected, 1)
+        self.assertEqual(self.server.counts.calls, 0)
+        await stranger.close()
+
+    async def test_recorded_frame_is_rejected_on_another_connection(self):
+        recorded = await self._record_one_call()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(recorded)
+        await reader.read(20)
+        self.assertEqual(await asyncio.wait_for(reader.read(), 2), b"")
+        writer.close()
+        self.assertEqual(self.server.counts.rejected, 1)
+
+    async def test_absurd_frame_length_is_rejected(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        writer.write(b"GBR1" + bytes(16) + b"\xff" * 13)
+        await reader.read(20)
+        self.assertEqual(await asyncio.wait_for(reader.read(), 2), b"")
+        writer.close()
+        self.assertEqual(self.server.counts.rejected, 1)
+
+    async def _record_one_call(self):
+        recorded = bytearray()
+
+        async def relay(reader, writer):
+            upstream = await asyncio.open_connection("127.0.0.1", self.server.port)
+
+            async def copy(source, sink, keep):
+                while data := await source.read(4096):
+                    if keep:
+                        recorded.extend(data)
+                    sink.write(data)
+
+            backward = asyncio.ensure_future(copy(upstream[0], writer, False))
+            await copy(reader, upstream[1], True)
+            upstream[1].close()
+            await backward
+
+        proxy = await asyncio.start_server(relay, "127.0.0.1", 0)
+        port = proxy.sockets[0].getsockname()[1]
+        client = RpcClient(f"127.0.0.1:{port}", KeyRing([(1, SECRET)]))
+        await client.call("echo", b"once", 2)
+        await client.close()
+        proxy.close()
+        return bytes(recorded)
--- /dev/null
+++ b/tests/test_timers.py
@@ -0,0 +1,34 @@
+from __future__ import annotations
+
+import unittest
+
+from geraniumbend.timers import ManualTimers
+
+
+class ManualTimersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_periodic_callback_runs_once_a_period(self):
+        timers = ManualTimers()
+        calls = []
+        timers.every(1.0, lambda: calls.append(timers.now()))
+        await timers.advance(3.5)
+        self.assertEqual(calls, [1001.0, 1002.0, 1003.0])
+
+    async def test_failing_callback_does_not_stop_the_period(self):
+        timers = ManualTimers()
+        calls = []
+
+        def fail():
+            calls.append(1)
+            raise RuntimeError("broken")
+
+        timers.every(1.0, fail)
+        await timers.advance(2.5)
+        self.assertEqual(len(calls), 2)
+
+    async def test_cancelled_subscription_calls_no_more(self):
+        timers = ManualTimers()
+        calls = []
+        subscription = timers.after(1.0, lambda: calls.append(1))
+        subscription.cancel()
+        await timers.advance(2.0)
+        self.assertEqual(calls, [])
