--- /dev/null
+++ b/src/geraniumbend/routing/_matching.py
@@ -0,0 +1,114 @@
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from geraniumbend.model import Configuration, Rule
+
+
+class RequestFacts(NamedTuple):
+    """What rules look at.
+
+    Parameters
+    ----------
+    host : str
+        Host header, with or without port.
+    path : str
+        Path without query.
+    method : str
+        HTTP method in upper case.
+    headers : mapping of str to str
+        Headers; looked up case-insensitively by the mapping itself.
+    """
+
+    host: str
+    path: str
+    method: str
+    headers: Mapping[str, str]
+
+
+class RuleTable:
+    """Rules of one configuration in the order in which they are tried.
+
+    Higher priority comes first, then the longer path prefix, then the name.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Configuration to take the rules from.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        ordered = sorted(configuration.rules.values(), key=_sort_key)
+        self._rules = [(rule, _compile(rule)) for rule in ordered]
+
+    def find(self, request: RequestFacts) -> Rule | None:
+        """Return the first rule that matches a request, or None."""
+        for rule, matches in self._rules:
+            if matches(request):
+                return rule
+        return None
+
+
+def compile_pattern(pattern: str) -> re.Pattern[str]:
+    """Compile a path pattern.
+
+    Parameters
+    ----------
+    pattern : str
+        ``*`` stands for one path segment, ``**`` for any rest.
+
+    Returns
+    -------
+    re.Pattern
+        Expression for the whole path.
+    """
+    parts = re.split(r"(\*\*|\*)", pattern)
+    wildcard = {"**": ".*", "*": "[^/]+"}
+    return re.compile("".join(wildcard.get(part, re.escape(part)) for part in parts))
+
+
+def _sort_key(rule: Rule) -> tuple[int, int, str]:
+    return (-rule.priority, -len(rule.match.path_prefix), rule.name)
+
+
+def _compile(rule: Rule) -> Callable[[RequestFacts], bool]:
+    match = rule.match
+    checks: list[Callable[[RequestFacts], bool]] = []
+    if match.host:
+        checks.append(lambda request: _host_matches(match.host, request.host))
+    if match.path_prefix:
+        checks.append(lambda request: request.path.startswith(match.path_prefix))
+    if match.path_pattern:
+        pattern = compile_pattern(match.path_pattern)
+        checks.append(lambda request: pattern.fullmatch(request.path) is not None)
+    if match.methods:
+        checks.append(lambda request: request.method in match.methods)
+    if match.headers:
+        checks.append(
+            lambda request: _headers_match(match.headers.items(), request.headers)
+        )
+    return lambda request: all(check(request) for check in checks)
+
+
+def _host_matches(wanted: str, host: str) -> bool:
+    name = host.lower()
+    if not name.endswith("]"):
+        name = name.rpartition(":")[0] or name
+    if wanted.startswith("*."):
+        return name.endswith(wanted[1:].lower())
+    return name == wanted.lower()
+
+
+def _headers_match(
+    wanted: Iterable[tuple[str, str]], headers: Mapping[str, str]
+) -> bool:
+    for name, value in wanted:
+        actual = headers.get(name)
+        if actual is None or value not in ("*", actual):
+            return False
+    return True
