Add the configuration store, its operations and the operators' file

Cause: operators need changes that are validated as a whole, applied atomically and answered identically when they are resent. Checks that depend on the version (policies, ranges) run before a change is proposed, so that replicas of different versions agree on the state. Red when outcomes are not recorded, when an old expected revision is accepted, and when the draft shares the label table with the current configuration.

--- a/src/geraniumbend/configuration/__init__.py
+++ b/src/geraniumbend/configuration/__init__.py
@@ -1,1 +1,53 @@
 """Replicated configuration and its distribution."""
+
+from __future__ import annotations
+
+from geraniumbend.configuration._documents import describe, parse
+from geraniumbend.configuration._files import (
+    FileContent,
+    describe_diff,
+    parse_file,
+    plan_operations,
+    write_file,
+)
+from geraniumbend.configuration._operations import (
+    DeleteGroup,
+    DeleteRule,
+    Operation,
+    RemoveLabels,
+    SetGroup,
+    SetLabels,
+    SetRule,
+    apply_operations,
+    describe_configuration,
+    describe_operation,
+    parse_configuration,
+    parse_operation,
+)
+from geraniumbend.configuration._store import ConfigurationStore, HistoryEntry
+from geraniumbend.configuration._validation import validate_operations
+
+__all__ = [
+    "ConfigurationStore",
+    "DeleteGroup",
+    "DeleteRule",
+    "FileContent",
+    "HistoryEntry",
+    "Operation",
+    "RemoveLabels",
+    "SetGroup",
+    "SetLabels",
+    "SetRule",
+    "apply_operations",
+    "describe",
+    "describe_configuration",
+    "describe_diff",
+    "describe_operation",
+    "parse",
+    "parse_configuration",
+    "parse_file",
+    "parse_operation",
+    "plan_operations",
+    "validate_operations",
+    "write_file",
+]
--- /dev/null
+++ b/src/geraniumbend/configuration/_documents.py
@@ -0,0 +1,145 @@
+from __future__ import annotations
+
+import types
+import typing
+from difflib import get_close_matches
+from functools import cache
+from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
+
+import msgspec
+
+from geraniumbend.errors import ConfigurationError
+
+T = TypeVar("T")
+
+
+def describe(value: Any) -> dict[str, Any]:
+    """Return the document form of a model value, without fields at their default.
+
+    Parameters
+    ----------
+    value : NamedTuple
+        Value of `geraniumbend.model` or an operation.
+
+    Returns
+    -------
+    dict
+        JSON and TOML compatible document with keys in the model's order.
+    """
+    defaults = value._field_defaults
+    return {
+        name: _describe_field(field)
+        for name, field in zip(value._fields, value, strict=True)
+        if name not in defaults or field != defaults[name]
+    }
+
+
+def parse(kind: type[T], document: Any, place: str, strict: bool = True) -> T:
+    """Build a model value from its document form.
+
+    Parameters
+    ----------
+    kind : type
+        NamedTuple class of `geraniumbend.model` or of an operation.
+    document : object
+        Output of `describe`, or what an operator wrote.
+    place : str
+        Name of the document in error messages.
+    strict : bool, default=True
+        Whether an unknown key is an error. Replicated state is read without this
+        check, so that a newer version's entries can be read.
+
+    Returns
+    -------
+    object
+        Instance of `kind`.
+
+    Raises
+    ------
+    ConfigurationError
+        If a key is unknown or missing, or a value has the wrong type.
+    """
+    named_tuple: Any = kind
+    try:
+        mirror = _mirror(named_tuple, strict)
+        return _restore(named_tuple, msgspec.convert(document, mirror))
+    except msgspec.ValidationError as error:
+        raise _explain(kind, place, str(error)) from error
+
+
+@cache
+def _mirror(kind: Any, strict: bool) -> Any:
+    hints = get_type_hints(kind)
+    fields: list[Any] = []
+    for name in kind._fields:
+        annotation = _mirror_type(hints[name], strict)
+        if name not in kind._field_defaults:
+            fields.append((name, annotation))
+        elif _is_named_tuple(hints[name]):
+            fields.append((name, annotation, msgspec.field(default_factory=annotation)))
+        else:
+            fields.append((name, annotation, kind._field_defaults[name]))
+    return msgspec.defstruct(
+        kind.__name__, fields, forbid_unknown_fields=strict, frozen=True, kw_only=True
+    )
+
+
+def _mirror_type(annotation: Any, strict: bool) -> Any:
+    if _is_named_tuple(annotation):
+        return _mirror(annotation, strict)
+    if get_origin(annotation) in (Union, types.UnionType):
+        parts = tuple(_mirror_type(part, strict) for part in get_args(annotation))
+        return Union[parts]  # noqa: UP007
+    return annotation
+
+
+def _restore(kind: Any, struct: Any) -> Any:
+    hints = get_type_hints(kind)
+    values = {}
+    for name in kind._fields:
+        value = getattr(struct, name)
+        if isinstance(value, msgspec.Struct):
+            value = _restore(_named_tuple_in(hints[name]), value)
+        values[name] = value
+    return kind(**values)
+
+
+def _named_tuple_in(annotation: Any) -> Any:
+    if _is_named_tuple(annotation):
+        return annotation
+    return next(part for part in get_args(annotation) if _is_named_tuple(part))
+
+
+def _is_named_tuple(annotation: Any) -> bool:
+    return isinstance(annotation, type) and hasattr(annotation, "_fields")
+
+
+def _describe_field(value: Any) -> Any:
+    if hasattr(value, "_fields"):
+        return describe(value)
+    if isinstance(value, tuple):
+        return list(value)
+    if isinstance(value, dict):
+        return dict(sorted(value.items()))
+    return value
+
+
+def _explain(kind: Any, place: str, problem: str) -> ConfigurationError:
+    message, _, path = problem.partition(" - at `$.")
+    path = path.rstrip("`")
+    where = f"{place}, {path}" if path else place
+    unknown = message.partition("unknown field `")[2].rstrip("`")
+    remedy = "correct the value; see the configuration reference for all keys"
+    if unknown:
+        near = get_close_matches(unknown, _known_keys(kind), n=1)
+        remedy = f"did you mean {near[0]!r}" if near else "remove the key"
+    return ConfigurationError(f"{where}: {message}", remedy)
+
+
+def _known_keys(kind: Any) -> list[str]:
+    keys = list(kind._fields)
+    for annotation in typing.get_type_hints(kind).values():
+        for part in (annotation, *get_args(annotation)):
+            if _is_named_tuple(part):
+                keys.extend(_known_keys(part))
+    return keys
--- /dev/null
+++ b/src/geraniumbend/configuration/_files.py
@@ -0,0 +1,242 @@
+from __future__ import annotations
+
+import tomllib
+from typing import Any, NamedTuple
+
+from geraniumbend.configuration._documents import describe, parse
+from geraniumbend.configuration._operations import (
+    DeleteGroup,
+    DeleteRule,
+    Operation,
+    RemoveLabels,
+    SetGroup,
+    SetLabels,
+    SetRule,
+)
+from geraniumbend.errors import ConfigurationError
+from geraniumbend.model import Configuration, Group, Rule
+
+TABLES = ("groups", "rules", "labels")
+
+
+class FileContent(NamedTuple):
+    """Groups, rules and labels of an operators' file.
+
+    Parameters
+    ----------
+    groups : dict of str to Group
+        Groups by name.
+    rules : dict of str to Rule
+        Rules by name.
+    labels : dict of str to dict
+        Label overrides by server id.
+    tables : frozenset of str
+        Tables that the file has; others are left alone when pruning.
+    """
+
+    groups: dict[str, Group]
+    rules: dict[str, Rule]
+    labels: dict[str, dict[str, str]]
+    tables: frozenset[str]
+
+
+def parse_file(text: str, source: str = "file") -> FileContent:
+    """Parse an operators' TOML file.
+
+    Parameters
+    ----------
+    text : str
+        TOML with ``[groups.NAME]``, ``[rules.NAME]`` and ``[labels.SERVER]`` tables.
+    source : str, default="file"
+        Name of the file in error messages.
+
+    Returns
+    -------
+    FileContent
+        Parsed content.
+
+    Raises
+    ------
+    ConfigurationError
+        If the file is no TOML, or a table or key is unknown or malformed.
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigurationError(
+            f"{source} is no TOML: {error}", "correct the syntax at that place"
+        ) from error
+    unknown = sorted(set(document) - set(TABLES))
+    if unknown:
+        raise ConfigurationError(
+            f"{source}: table {unknown[0]!r} is unknown", f"use {', '.join(TABLES)}"
+        )
+    groups = {
+        name: parse(Group, entry, f"{source}: groups.{name}")
+        for name, entry in _named_tables(document, "groups", source)
+    }
+    rules = {
+        name: parse(Rule, entry, f"{source}: rules.{name}")
+        for name, entry in _named_tables(document, "rules", source)
+    }
+    labels = {}
+    for server, entry in _tables(document, "labels", source):
+        step = {"server_id": server, "labels": entry}
+        labels[server] = parse(SetLabels, step, f"{source}: labels.{server}").labels
+    return FileContent(groups, rules, labels, frozenset(document))
+
+
+def plan_operations(
+    wanted: FileContent, current: Configuration, prune: bool = False
+) -> list[Operation]:
+    """Return the operations that bring the configuration to a file's content.
+
+    Parameters
+    ----------
+    wanted : FileContent
+        Content of the file.
+    current : Configuration
+        Configuration in force.
+    prune : bool, default=False
+        Whether entries that the file does not have are deleted, in the tables that
+        it has.
+
+    Returns
+    -------
+    list of Operation
+        Steps in an order that can be applied; empty when nothing differs.
+    """
+    steps: list[Operation] = []
+    for name, group in wanted.groups.items():
+        if current.groups.get(name) != group:
+            steps.append(SetGroup(group))
+    for name, rule in wanted.rules.items():
+        if current.rules.get(name) != rule:
+            steps.append(SetRule(rule))
+    if prune and "rules" in wanted.tables:
+        steps += [
+            DeleteRule(name)
+            for name in sorted(current.rules.keys())
+            if name not in wanted.rules
+        ]
+    if prune and "groups" in wanted.tables:
+        steps += [
+            DeleteGroup(name)
+            for name in sorted(current.groups.keys())
+            if name not in wanted.groups
+        ]
+    for server, labels in wanted.labels.items():
+        known = current.label_overrides.get(server, {})
+        surplus = tuple(sorted(set(known) - set(labels))) if prune else ()
+        if any(known.get(label) != value for label, value in labels.items()):
+            steps.append(SetLabels(server, labels))
+        if surplus:
+            steps.append(RemoveLabels(server, surplus))
+    if prune and "labels" in wanted.tables:
+        steps += [
+            RemoveLabels(server)
+            for server in sorted(current.label_overrides)
+            if server not in wanted.labels
+        ]
+    return steps
+
+
+def describe_diff(
+    operations: list[Operation], current: Configuration
+) -> list[dict[str, Any]]:
+    """Return what operations change, value by value.
+
+    Parameters
+    ----------
+    operations : list of Operation
+        Steps of a change.
+    current : Configuration
+        Configuration in force.
+
+    Returns
+    -------
+    list of dict
+        Kind, name, and the values before and after; None means absent.
+    """
+    lines = []
+    for step in operations:
+        kind, name = step.touched()
+        before: Any = None
+        after: Any = None
+        if kind == "labels":
+            before = current.label_overrides.get(name)
+            if isinstance(step, SetLabels):
+                after = (before or {}) | step.labels
+            elif isinstance(step, RemoveLabels):
+                gone = step.names or tuple(before or {})
+                after = {k: v for k, v in (before or {}).items() if k not in gone}
+        else:
+            table: dict[str, Any] = current.groups if kind == "group" else current.rules
+            before = describe(table[name]) if name in table else None
+            if isinstance(step, SetGroup):
+                after = describe(step.group)
+            elif isinstance(step, SetRule):
+                after = describe(step.rule)
+        lines.append({"kind": kind, "name": name, "before": before, "after": after})
+    return lines
+
+
+def write_file(configuration: Configuration) -> dict[str, Any]:
+    """Return a configuration as the tables of an operators' file.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Configuration to write.
+
+    Returns
+    -------
+    dict
+        Tables; `parse_file` of their TOML form gives the same groups, rules and
+        labels.
+    """
+    return {
+        "groups": {
+            name: _without_name(group)
+            for name, group in sorted(configuration.groups.items())
+        },
+        "rules": {
+            name: _without_name(rule)
+            for name, rule in sorted(configuration.rules.items())
+        },
+        "labels": dict(sorted(configuration.label_overrides.items())),
+    }
+
+
+def _without_name(value: Any) -> dict[str, Any]:
+    document = describe(value)
+    del document["name"]
+    return document
+
+
+def _tables(
+    document: dict[str, Any], table: str, source: str
+) -> list[tuple[str, dict[str, Any]]]:
+    entries = document.get(table, {})
+    if not isinstance(entries, dict) or not all(
+        isinstance(entry, dict) for entry in entries.values()
+    ):
+        raise ConfigurationError(
+            f"{source}: {table} holds values without a name",
+            f"write tables such as [{table}.NAME]",
+        )
+    return list(entries.items())
+
+
+def _named_tables(
+    document: dict[str, Any], table: str, source: str
+) -> list[tuple[str, dict[str, Any]]]:
+    named = []
+    for name, entry in _tables(document, table, source):
+        if entry.get("name", name) != name:
+            raise ConfigurationError(
+                f"{source}: {table}.{name} has the other name {entry['name']!r}",
+                "remove the key name",
+            )
+        named.append((name, {**entry, "name": name}))
+    return named
--- /dev/null
+++ b/src/geraniumbend/configuration/_operations.py
@@ -0,0 +1,308 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+
+import msgspec
+
+from geraniumbend.configuration._documents import describe, parse
+from geraniumbend.errors import ConfigurationError
+from geraniumbend.model import Configuration, Group, Rule
+from geraniumbend.registries import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+operation_kinds: Registry[Any] = Registry("operation")
+
+
+class Draft(NamedTuple):
+    """Copies of the parts of a configuration that operations change in place.
+
+    Parameters
+    ----------
+    groups : dict of str to Group
+        Groups by name.
+    rules : dict of str to Rule
+        Rules by name.
+    label_overrides : dict of str to dict
+        Operators' labels by server id.
+    """
+
+    groups: dict[str, Group]
+    rules: dict[str, Rule]
+    label_overrides: dict[str, dict[str, str]]
+
+
+class Operation(Protocol):
+    """One step of a change."""
+
+    def perform(self, draft: Draft) -> None:
+        """Change the draft.
+
+        Raises
+        ------
+        ConfigurationError
+            If the step does not fit the draft.
+        """
+        ...
+
+    def touched(self) -> tuple[str, str]:
+        """Return kind (``group``, ``rule``, ``labels``) and name of what changes."""
+        ...
+
+
+@operation_kinds.register("set_group")
+class SetGroup(NamedTuple):
+    """Create or replace a group."""
+
+    group: Group
+
+    def perform(self, draft: Draft) -> None:
+        """Store the group."""
+        draft.groups[self.group.name] = self.group
+
+    def touched(self) -> tuple[str, str]:
+        """Return kind and name."""
+        return "group", self.group.name
+
+
+@operation_kinds.register("delete_group")
+class DeleteGroup(NamedTuple):
+    """Delete a group that no rule uses."""
+
+    name: str
+
+    def perform(self, draft: Draft) -> None:
+        """Remove the group."""
+        if draft.groups.pop(self.name, None) is None:
+            raise _missing("group", self.name)
+
+    def touched(self) -> tuple[str, str]:
+        """Return kind and name."""
+        return "group", self.name
+
+
+@operation_kinds.register("set_rule")
+class SetRule(NamedTuple):
+    """Create or replace a rule."""
+
+    rule: Rule
+
+    def perform(self, draft: Draft) -> None:
+        """Store the rule."""
+        draft.rules[self.rule.name] = self.rule
+
+    def touched(self) -> tuple[str, str]:
+        """Return kind and name."""
+        return "rule", self.rule.name
+
+
+@operation_kinds.register("delete_rule")
+class DeleteRule(NamedTuple):
+    """Delete a rule."""
+
+    name: str
+
+    def perform(self, draft: Draft) -> None:
+        """Remove the rule."""
+        if draft.rules.pop(self.name, None) is None:
+            raise _missing("rule", self.name)
+
+    def touched(self) -> tuple[str, str]:
+        """Return kind and name."""
+        return "rule", self.name
+
+
+@operation_kinds.register("set_labels")
+class SetLabels(NamedTuple):
+    """Override labels of a backend server; an empty value hides a label."""
+
+    server_id: str
+    labels: dict[str, str]
+
+    def perform(self, draft: Draft) -> None:
+        """Merge the labels into the overrides of the server."""
+        known = draft.label_overrides.get(self.server_id, {})
+        draft.label_overrides[self.server_id] = known | self.labels
+
+    def touched(self) -> tuple[str, str]:
+        """Return kind and server id."""
+        return "labels", self.server_id
+
+
+@operation_kinds.register("remove_labels")
+class RemoveLabels(NamedTuple):
+    """Remove overrides, so that announced labels count again; no names: all."""
+
+    server_id: str
+    names: tuple[str, ...] = ()
+
+    def perform(self, draft: Draft) -> None:
+        """Drop the named overrides of the server."""
+        known = draft.label_overrides.get(self.server_id, {})
+        names = self.names or tuple(known)
+        missing = [name for name in names if name not in known]
+        if missing or not known:
+            raise _missing("label override", f"{self.server_id}: {missing}")
+        rest = {name: value for name, value in known.items() if name not in names}
+        if rest:
+            draft.label_overrides[self.server_id] = rest
+        else:
+            del draft.label_overrides[self.server_id]
+
+    def touched(self) -> tuple[str, str]:
+        """Return kind and server id."""
+        return "labels", self.server_id
+
+
+def apply_operations(
+    configuration: Configuration, operations: Iterable[Operation], revision: int
+) -> Configuration:
+    """Return the configuration after a change; the argument stays as it is.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Configuration before the change.
+    operations : iterable of Operation
+        Steps in order.
+    revision : int
+        Revision of the result.
+
+    Returns
+    -------
+    Configuration
+        Configuration after all steps.
+
+    Raises
+    ------
+    ConfigurationError
+        If a step does not fit, or a rule of the result names a missing group.
+    """
+    draft = Draft(
+        dict(configuration.groups),
+        dict(configuration.rules),
+        dict(configuration.label_overrides),
+    )
+    for operation in operations:
+        operation.perform(draft)
+    for rule in draft.rules.values():
+        if rule.group not in draft.groups:
+            raise ConfigurationError(
+                f"rule {rule.name!r} names the missing group {rule.group!r}",
+                "set the group in the same change, or change or delete the rule",
+            )
+    return Configuration(revision, *draft)
+
+
+def describe_operation(operation: Any) -> dict[str, Any]:
+    """Return the JSON form of an operation."""
+    for name in operation_kinds.names():
+        if operation_kinds.get(name) is type(operation):
+            return {"operation": name, **describe(operation)}
+    raise TypeError(f"{operation!r} is no operation")
+
+
+def parse_operation(document: Any, strict: bool = True) -> Operation:
+    """Build an operation from its JSON form.
+
+    Parameters
+    ----------
+    document : dict
+        Output of `describe_operation`, or what an operator sent.
+    strict : bool, default=True
+        Whether an unknown key is an error.
+
+    Returns
+    -------
+    Operation
+        The operation.
+
+    Raises
+    ------
+    ConfigurationError
+        If the document is no operation.
+    """
+    name = document.get("operation") if isinstance(document, dict) else None
+    if name not in operation_kinds.names():
+        raise ConfigurationError(
+            f"operation {name!r} is unknown", f"use one of {operation_kinds.names()}"
+        )
+    rest = {key: value for key, value in document.items() if key != "operation"}
+    return parse(operation_kinds.get(name), rest, f"operation {name}", strict)
+
+
+def encode_operations(operations: Sequence[Any]) -> bytes:
+    """Serialize operations as JSON."""
+    return msgspec.json.encode([describe_operation(entry) for entry in operations])
+
+
+def decode_operations(data: bytes) -> list[Operation]:
+    """Deserialize the output of `encode_operations`."""
+    return [parse_operation(entry, strict=False) for entry in msgspec.json.decode(data)]
+
+
+def describe_configuration(configuration: Configuration) -> dict[str, Any]:
+    """Return the JSON form of a configuration, keys sorted by name."""
+    return {
+        "revision": configuration.revision,
+        "groups": [
+            describe(group) for _, group in sorted(configuration.groups.items())
+        ],
+        "rules": [describe(rule) for _, rule in sorted(configuration.rules.items())],
+        "labels": {
+            server: dict(sorted(labels.items()))
+            for server, labels in sorted(configuration.label_overrides.items())
+        },
+    }
+
+
+def parse_configuration(document: dict[str, Any]) -> Configuration:
+    """Build a configuration from the output of `describe_configuration`."""
+    groups = [parse(Group, entry, "group", False) for entry in document["groups"]]
+    rules = [parse(Rule, entry, "rule", False) for entry in document["rules"]]
+    return Configuration(
+        document["revision"],
+        {group.name: group for group in groups},
+        {rule.name: rule for rule in rules},
+        document["labels"],
+    )
+
+
+def describe_touched(
+    configuration: Configuration, operations: Iterable[Operation]
+) -> dict[str, Any]:
+    """Return the current values of everything that operations touch.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Configuration in force.
+    operations : iterable of Operation
+        Steps of a change.
+
+    Returns
+    -------
+    dict
+        ``"group NAME"``, ``"rule NAME"`` or ``"labels SERVER"`` to the current
+        value, None where there is none.
+    """
+    values: dict[str, Any] = {}
+    for operation in operations:
+        kind, name = operation.touched()
+        value: Any = None
+        if kind == "labels":
+            value = configuration.label_overrides.get(name)
+        else:
+            table: dict[str, Any] = (
+                configuration.groups if kind == "group" else configuration.rules
+            )
+            value = describe(table[name]) if name in table else None
+        values[f"{kind} {name}"] = value
+    return values
+
+
+def _missing(kind: str, name: str) -> ConfigurationError:
+    return ConfigurationError(
+        f"{kind} {name!r} does not exist", "list what exists and correct the name"
+    )
--- /dev/null
+++ b/src/geraniumbend/configuration/_store.py
@@ -0,0 +1,307 @@
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+import xxhash
+
+from geraniumbend.configuration._operations import (
+    apply_operations,
+    decode_operations,
+    describe_configuration,
+    describe_touched,
+    parse_configuration,
+)
+from geraniumbend.errors import ConfigurationError, ProtocolError
+from geraniumbend.model import Configuration
+from geraniumbend.wire import decode, encode, load_structs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SNAPSHOT_FORMAT = 1
+HISTORY_LIMIT = 1000
+OUTCOME_LIMIT = 10_000
+# Values shown with a conflict; recorded outcomes would otherwise grow with the change.
+SHOWN_VALUES = 20
+OUTCOME_AGE_MS = 24 * 3600 * 1000
+# Revisions of a restored cluster start in a new epoch, above all earlier revisions,
+# so that nodes which still hold the lost cluster's configuration accept them.
+EPOCH = 1 << 32
+
+
+class HistoryEntry(NamedTuple):
+    """One accepted change.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that the change made.
+    change_id : str
+        Id chosen by the client.
+    operator : str
+        Name of the operator's token.
+    time_ms : int
+        Unix time on the host that proposed the change, in milliseconds.
+    operations : bytes
+        Operations as JSON.
+    """
+
+    revision: int
+    change_id: str
+    operator: str
+    time_ms: int
+    operations: bytes
+
+
+class _Recorded(NamedTuple):
+    digest: str
+    time_ms: int
+    outcome: bytes
+
+
+class ConfigurationStore:
+    """State machine of the configuration log.
+
+    Every replica applies the same commands in the same order, so nothing here reads
+    a clock, a setting or a registry that may differ between hosts.
+    """
+
+    def __init__(self) -> None:
+        self.current = Configuration()
+        self.cluster_id = ""
+        self.order_shards = 0
+        self.applied_index = 0
+        self.history: deque[HistoryEntry] = deque(maxlen=HISTORY_LIMIT)
+        self._outcomes: OrderedDict[str, _Recorded] = OrderedDict()
+        self._time_ms = 0
+        self._callbacks: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back whenever the current configuration was replaced."""
+        self._callbacks.append(callback)
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply a committed command; see `StateMachine.apply`.
+
+        Parameters
+        ----------
+        index : int
+            Index of the command in the log.
+        command : bytes
+            Thrift struct ``Command``.
+
+        Returns
+        -------
+        bytes
+            Thrift struct ``Outcome``.
+        """
+        self.applied_index = index
+        wanted = decode(load_structs("configuration").Command, command)
+        if wanted.change is not None:
+            change = wanted.change
+            return self._apply_once(change, change.operations, self._perform_change)
+        if wanted.restoration is not None:
+            restoration = wanted.restoration
+            return self._apply_once(
+                restoration, restoration.document, self._perform_restoration
+            )
+        if wanted.founding is not None:
+            return self._found(wanted.founding)
+        raise ProtocolError(
+            f"configuration command {index} has no known member",
+            "run the same version on all control hosts",
+        )
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; equal states give equal bytes."""
+        return msgspec.json.encode(
+            {
+                "format": SNAPSHOT_FORMAT,
+                "index": self.applied_index,
+                "cluster_id": self.cluster_id,
+                "order_shards": self.order_shards,
+                "time_ms": self._time_ms,
+                "configuration": describe_configuration(self.current),
+                "history": [list(entry) for entry in self.history],
+                "outcomes": [
+                    [change_id, *recorded]
+                    for change_id, recorded in self._outcomes.items()
+                ],
+            }
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by the output of `snapshot`.
+
+        Raises
+        ------
+        ProtocolError
+            If the snapshot has an unknown format.
+        """
+        state = msgspec.json.decode(data)
+        if state.get("format") != SNAPSHOT_FORMAT:
+            raise ProtocolError(
+                f"configuration snapshot has format {state.get('format')!r}",
+                "run the same version on all control hosts",
+            )
+        self.applied_index = state["index"]
+        self.cluster_id = state["cluster_id"]
+        self.order_shards = state["order_shards"]
+        self._time_ms = state["time_ms"]
+        self.current = parse_configuration(state["configuration"])
+        self.history.clear()
+        self.history.extend(
+            msgspec.convert(state["history"], list[HistoryEntry], strict=False)
+        )
+        self._outcomes.clear()
+        for change_id, *recorded in state["outcomes"]:
+            self._outcomes[change_id] = msgspec.convert(recorded, _Recorded)
+        self._notify()
+
+    def changes_since(self, revision: int) -> list[HistoryEntry] | None:
+        """Return the changes after a revision, or None when history is too short.
+
+        Parameters
+        ----------
+        revision : int
+            Revision that a subscriber holds.
+
+        Returns
+        -------
+        list of HistoryEntry or None
+            Changes in order; empty when the subscriber is up to date or ahead.
+        """
+        if revision >= self.current.revision:
+            return []
+        oldest = self.history[0].revision if self.history else 0
+        if not self.history or revision < oldest - 1:
+            return None
+        return [entry for entry in self.history if entry.revision > revision]
+
+    def backup(self) -> dict[str, Any]:
+        """Return cluster id, revision and configuration for an operator's backup."""
+        return {
+            "format": SNAPSHOT_FORMAT,
+            "cluster_id": self.cluster_id,
+            "configuration": describe_configuration(self.current),
+        }
+
+    def dump(self) -> dict[str, Any]:
+        """Return counters for the state dump."""
+        return {
+            "cluster_id": self.cluster_id,
+            "revision": self.current.revision,
+            "applied_index": self.applied_index,
+            "groups": len(self.current.groups),
+            "rules": len(self.current.rules),
+            "label_overrides": len(self.current.label_overrides),
+            "history": len(self.history),
+            "recorded_outcomes": len(self._outcomes),
+        }
+
+    def _apply_once(
+        self, wanted: Any, content: bytes, perform: Callable[[Any], Any]
+    ) -> bytes:
+        self._time_ms = max(self._time_ms, wanted.time_ms)
+        digest = xxhash.xxh3_128_hexdigest(
+            msgspec.json.encode([getattr(wanted, "expected_revision", -1), content])
+        )
+        recorded = self._outcomes.get(wanted.change_id)
+        if recorded is None:
+            outcome = encode(perform(wanted))
+            self._record(wanted.change_id, _Recorded(digest, self._time_ms, outcome))
+            return outcome
+        structs = load_structs("configuration")
+        if recorded.digest != digest:
+            return encode(
+                structs.Outcome(
+                    state="conflict",
+                    revision=self.current.revision,
+                    message=f"change id {wanted.change_id!r} belongs to another change",
+                    remedy="send each change with its own new id",
+                )
+            )
+        first = decode(structs.Outcome, recorded.outcome)
+        first.repeated = True
+        return encode(first)
+
+    def _record(self, change_id: str, recorded: _Recorded) -> None:
+        self._outcomes[change_id] = recorded
+        oldest_ms = self._time_ms - OUTCOME_AGE_MS
+        while self._outcomes:
+            first = next(iter(self._outcomes.values()))
+            if len(self._outcomes) <= OUTCOME_LIMIT and first.time_ms >= oldest_ms:
+                break
+            self._outcomes.popitem(last=False)
+
+    def _perform_change(self, change: Any) -> Any:
+        structs = load_structs("configuration")
+        operations = decode_operations(change.operations)
+        revision = self.current.revision
+        if change.expected_revision != revision:
+            return structs.Outcome(
+                state="conflict",
+                revision=revision,
+                message=(
+                    f"the change expects revision {change.expected_revision}, "
+                    f"but revision {revision} is in force"
+                ),
+                remedy="look at the current values and send the change again",
+                current=msgspec.json.encode(
+                    describe_touched(self.current, operations[:SHOWN_VALUES])
+                ),
+            )
+        try:
+            changed = apply_operations(self.current, operations, revision + 1)
+        except ConfigurationError as error:
+            return structs.Outcome(
+                state="invalid",
+                revision=revision,
+                message=error.message,
+                remedy=error.remedy,
+            )
+        self._install(changed, change, change.operations)
+        return structs.Outcome(state="applied", revision=changed.revision)
+
+    def _perform_restoration(self, restoration: Any) -> Any:
+        structs = load_structs("configuration")
+        if self.current.revision != 0:
+            return structs.Outcome(
+                state="conflict",
+                revision=self.current.revision,
+                message="a backup can only be restored into an empty cluster",
+                remedy="start new control hosts with empty data folders",
+            )
+        saved = parse_configuration(
+            msgspec.json.decode(restoration.document)["configuration"]
+        )
+        revision = (saved.revision // EPOCH + 1) * EPOCH
+        self._install(saved._replace(revision=revision), restoration, b"[]")
+        return structs.Outcome(state="applied", revision=revision)
+
+    def _found(self, founding: Any) -> bytes:
+        if not self.cluster_id:
+            self.cluster_id = founding.cluster_id
+            self.order_shards = founding.order_shards
+        return encode(
+            load_structs("configuration").Outcome(revision=self.current.revision)
+        )
+
+    def _install(self, changed: Configuration, wanted: Any, operations: bytes) -> None:
+        self.history.append(
+            HistoryEntry(
+                changed.revision,
+                wanted.change_id,
+                wanted.operator,
+                self._time_ms,
+                operations,
+            )
+        )
+        self.current = changed
+        self._notify()
+
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            callback()
