--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,10 @@
+"""Entry point of the load and experiment tool."""
+
+from __future__ import annotations
+
+import sys
+
+from bench._run import run
+
+if __name__ == "__main__":
+    sys.exit(run(sys.argv[1:]))
--- /dev/null
+++ b/bench/_cluster.py
@@ -0,0 +1,271 @@
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import tomli_w
+
+from geraniumbend.errors import UnavailableError
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+SECRET = "loopback-experiments-only"
+
+
+def reserve_port() -> int:
+    """Return a TCP port that was free at the time of the call."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        port: int = listener.getsockname()[1]
+        return port
+
+
+class Process:
+    """One process of the system, started from a settings file.
+
+    Parameters
+    ----------
+    role : str
+        ``gateway`` or ``control``.
+    settings : dict
+        Settings document.
+    folder : Path
+        Folder for the settings file and the log.
+    """
+
+    def __init__(self, role: str, settings: dict[str, Any], folder: Path) -> None:
+        self.role = role
+        self.name: str = settings["node"]["name"]
+        self.settings = settings
+        self.folder = folder
+        self.running: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process; its log goes to a file beside the settings."""
+        path = self.folder / f"{self.name}.toml"
+        path.write_text(tomli_w.dumps(self.settings))
+        with open(self.folder / f"{self.name}.log", "ab") as log:
+            self.running = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "geraniumbend", self.role, str(path), stderr=log
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.running is not None
+        self.running.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kill the process with SIGKILL and wait for its end."""
+        if self.running is not None and self.running.returncode is None:
+            self.running.kill()
+            await self.running.wait()
+
+    async def stop(self) -> int:
+        """Ask the process to stop and wait.
+
+        Returns
+        -------
+        int
+            Exit code; negative when the process had to be killed.
+        """
+        if self.running is None:
+            return 0
+        if self.running.returncode is None:
+            self.running.send_signal(signal.SIGCONT)
+            self.running.terminate()
+            try:
+                await asyncio.wait_for(self.running.wait(), STOP_TIMEOUT_S)
+            except TimeoutError:
+                await self.kill()
+        return self.running.returncode or 0
+
+
+class Cluster:
+    """Gateways and control processes on loopback.
+
+    Parameters
+    ----------
+    gateways : int, default=3
+        Number of gateways.
+    controls : int, default=3
+        Number of voting control processes.
+    gateway_settings, control_settings : dict or None, default=None
+        Keys that replace those of the ``[gateway]`` and ``[control]`` tables.
+    """
+
+    def __init__(
+        self,
+        gateways: int = 3,
+        controls: int = 3,
+        gateway_settings: dict[str, Any] | None = None,
+        control_settings: dict[str, Any] | None = None,
+    ) -> None:
+        self._temporary = tempfile.TemporaryDirectory(prefix="geraniumbend-")
+        self.folder = Path(self._temporary.name)
+        self.controls: list[Process] = []
+        self.gateways: list[Process] = []
+        names = [f"control-{number}" for number in range(controls)]
+        voters = {name: f"127.0.0.1:{reserve_port()}" for name in names}
+        for name in names:
+            document = self._describe_control(name, voters, gateways)
+            document["control"].update(control_settings or {})
+            self.controls.append(Process("control", document, self.folder))
+        for number in range(gateways):
+            document = self._describe_gateway(f"gateway-{number}", voters, gateways)
+            document["gateway"].update(gateway_settings or {})
+            self.gateways.append(Process("gateway", document, self.folder))
+
+    @property
+    def api(self) -> str:
+        """Return the operators' API addresses, comma-separated."""
+        ports = [p.settings["control"]["operators"]["port"] for p in self.controls]
+        return ",".join(f"http://127.0.0.1:{port}" for port in ports)
+
+    @property
+    def callers(self) -> list[str]:
+        """Return the caller listeners as ``ip:port``."""
+        return [
+            f"127.0.0.1:{p.settings['gateway']['caller']['port']}"
+            for p in self.gateways
+        ]
+
+    @property
+    def announces(self) -> tuple[str, ...]:
+        """Return the announce listeners as ``ip:port``."""
+        return tuple(
+            f"127.0.0.1:{p.settings['gateway']['announce']['port']}"
+            for p in self.gateways
+        )
+
+    async def start(self) -> None:
+        """Start all processes and wait until the control API answers."""
+        await asyncio.gather(*(p.start() for p in self.controls + self.gateways))
+        await self.wait_for_controls()
+
+    async def stop(self) -> list[int]:
+        """Stop all processes and return their exit codes, gateways first."""
+        codes = await asyncio.gather(*(p.stop() for p in self.gateways))
+        codes += await asyncio.gather(*(p.stop() for p in self.controls))
+        self._temporary.cleanup()
+        return list(codes)
+
+    async def wait_for_controls(self) -> None:
+        """Wait until some control process answers reads.
+
+        Raises
+        ------
+        UnavailableError
+            If none does in time.
+        """
+        urls = [f"{address}/v1/configuration" for address in self.api.split(",")]
+        await wait_for_any(urls)
+
+    async def wait_until_ready(self) -> None:
+        """Wait until all gateways are ready.
+
+        Raises
+        ------
+        UnavailableError
+            If one is not in time.
+        """
+        for address in self.announces:
+            await wait_for_any([f"http://{address}/readyz"])
+
+    async def operate(self, *arguments: str) -> tuple[int, str]:
+        """Run the command line against this cluster.
+
+        Parameters
+        ----------
+        *arguments : str
+            Arguments of ``geraniumbend``.
+
+        Returns
+        -------
+        tuple of (int, str)
+            Exit code and combined output.
+        """
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "geraniumbend",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env={**os.environ, "GERANIUMBEND_API": self.api},
+        )
+        output, _ = await process.communicate()
+        return process.returncode or 0, output.decode()
+
+    def _describe_common(self, name: str, port: int, gateways: int) -> dict[str, Any]:
+        number = int(name.rpartition("-")[2])
+        return {
+            "node": {"name": name, "failure_domain": f"domain-{number % 3}"},
+            "keys": [{"number": 1, "secret": SECRET}],
+            "peer": {
+                "listen": {"port": port},
+                "minimum_gateways": max(1, gateways // 2 + 1),
+            },
+        }
+
+    def _describe_control(
+        self, name: str, voters: dict[str, str], gateways: int
+    ) -> dict[str, Any]:
+        port = int(voters[name].rpartition(":")[2])
+        document = self._describe_common(name, port, gateways)
+        document["peer"]["seeds"] = list(voters.values())
+        document["control"] = {
+            "data_folder": str(self.folder / f"{name}-data"),
+            "operators": {"port": reserve_port()},
+            "voters": voters,
+        }
+        return document
+
+    def _describe_gateway(
+        self, name: str, voters: dict[str, str], gateways: int
+    ) -> dict[str, Any]:
+        document = self._describe_common(name, reserve_port(), gateways)
+        document["peer"]["seeds"] = list(voters.values())
+        document["gateway"] = {
+            "caller": {"port": reserve_port()},
+            "announce": {"port": reserve_port()},
+            "control": list(voters.values()),
+            "drain_delay_s": 0.3,
+        }
+        return document
+
+
+async def wait_for_any(urls: list[str]) -> None:
+    """Wait until one of several URLs answers with status 200.
+
+    Parameters
+    ----------
+    urls : list of str
+        URLs to ask in turn.
+
+    Raises
+    ------
+    UnavailableError
+        If none answers within 20 s.
+    """
+    deadline = asyncio.get_running_loop().time() + START_TIMEOUT_S
+    timeout = aiohttp.ClientTimeout(total=1)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while asyncio.get_running_loop().time() < deadline:
+            for url in urls:
+                try:
+                    async with session.get(url) as answer:
+                        if answer.status == 200:
+                            return
+                except (aiohttp.ClientError, TimeoutError):
+                    pass
+            await asyncio.sleep(0.05)
+    raise UnavailableError(
+        f"no answer from {urls} in {START_TIMEOUT_S:.0f} s", "look into the logs"
+    )
--- /dev/null
+++ b/bench/_run.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+import argparse
+import json
+import pkgutil
+import sys
+from importlib import import_module
+from typing import TYPE_CHECKING
+
+import uvloop
+
+import bench
+from bench._experiments import Options, experiments
+from geraniumbend.errors import GeraniumbendError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one experiment and print its result.
+
+    Parameters
+    ----------
+    arguments : sequence of str
+        Arguments without the program's name.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    for module in pkgutil.iter_modules(bench.__path__):
+        if module.name != "__main__":
+            import_module(f"bench.{module.name}")
+    parser = argparse.ArgumentParser(prog="python -m bench")
+    parser.add_argument("name", choices=experiments.names())
+    parser.add_argument("--json", action="store_true", help="print one JSON line")
+    parser.add_argument("--seed", type=int, default=Options().seed)
+    parser.add_argument("--scale", type=float, default=Options().scale)
+    parsed = parser.parse_args(arguments)
+    try:
+        result = uvloop.run(
+            experiments.get(parsed.name)(Options(parsed.seed, parsed.scale))
+        )
+    except GeraniumbendError as error:
+        print(f"error: {error}", file=sys.stderr)
+        return error.exit_code
+    if parsed.json:
+        print(json.dumps(result))
+    else:
+        for key, value in result.items():
+            print(f"{key:28} {value}")
+    return int(result.get("exit_code", 0))
--- a/src/geraniumbend/cli/__init__.py
+++ b/src/geraniumbend/cli/__init__.py
@@ -1,1 +1,7 @@
-"""Command line."""
+"""Command line; each command registers itself."""
+
+from __future__ import annotations
+
+from geraniumbend.cli._application import build_application, commands
+
+__all__ = ["build_application", "commands"]
--- /dev/null
+++ b/src/geraniumbend/cli/_processes.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from geraniumbend.cli._application import commands
+from geraniumbend.logs import configure_logs, declare_event, log_event
+from geraniumbend.settings import load_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+# Full collections stop the event loop for milliseconds, which shows in the 99th
+# percentile; a higher threshold makes them rare.
+COLLECTION_THRESHOLD = 50_000
+
+declare_event(900, "process_started", "info", "The process serves its listeners.")
+declare_event(901, "process_stopping", "info", "A signal asked the process to stop.")
+declare_event(902, "process_stopped", "info", "The process has shut down gracefully.")
+
+
+@commands.register("gateway")
+def run_gateway(settings: Path) -> int:
+    """Run the gateway role.
+
+    Parameters
+    ----------
+    settings : Path
+        TOML file with the settings.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    from geraniumbend.roles.gateway import Gateway
+
+    return _run_role(Gateway.from_config, settings, "gateway")
+
+
+@commands.register("control")
+def run_control(settings: Path) -> int:
+    """Run the control role.
+
+    Parameters
+    ----------
+    settings : Path
+        TOML file with the settings.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    from geraniumbend.roles.control import Control
+
+    return _run_role(Control.from_config, settings, "control")
+
+
+def _run_role(build: Callable[..., Any], path: Path, role: str) -> int:
+    import uvloop
+
+    settings = load_settings(path)
+    configure_logs(settings.node.name, settings.node.log_level)
+
+    async def serve() -> None:
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        process = build(settings)
+        await process.start()
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(COLLECTION_THRESHOLD, 20, 100)
+        log_event(900, role=role)
+        await stopping.wait()
+        log_event(901, role=role)
+        await process.stop()
+        log_event(902, role=role)
+
+    uvloop.run(serve())
+    return 0
--- /dev/null
+++ b/src/geraniumbend/roles/control.py
@@ -0,0 +1,7 @@
+"""The control role: durable state and the operators' API."""
+
+from __future__ import annotations
+
+from geraniumbend.roles._control import Control
+
+__all__ = ["Control"]
