Distribute the configuration by long polls and relay changes to the leader

Cause: gateways need each accepted change within 2 s, also when their control host is silently cut off, and operators may ask any control host. Change: ConfigurationService with relay and read barrier, subscriptions that a host without majority refuses, follower with rendezvous order, short polls and probes beside the subscription, view that never goes back, backup and restore into a new revision epoch. Proof: fakes with lost answers, cut and silent hosts.

--- a/src/geraniumbend/configuration/__init__.py
+++ b/src/geraniumbend/configuration/__init__.py
@@ -10,6 +10,7 @@
     plan_operations,
     write_file,
 )
+from geraniumbend.configuration._follower import ConfigurationFollower
 from geraniumbend.configuration._operations import (
     DeleteGroup,
     DeleteRule,
@@ -24,11 +25,22 @@
     parse_configuration,
     parse_operation,
 )
+from geraniumbend.configuration._service import (
+    ChangeConflictError,
+    ChangeOutcome,
+    ConfigurationService,
+)
 from geraniumbend.configuration._store import ConfigurationStore, HistoryEntry
 from geraniumbend.configuration._validation import validate_operations
+from geraniumbend.configuration._view import ConfigurationView
 
 __all__ = [
+    "ChangeConflictError",
+    "ChangeOutcome",
+    "ConfigurationFollower",
+    "ConfigurationService",
     "ConfigurationStore",
+    "ConfigurationView",
     "DeleteGroup",
     "DeleteRule",
     "FileContent",
--- /dev/null
+++ b/src/geraniumbend/configuration/_relay.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from geraniumbend.errors import NotLeaderError, UnavailableError
+from geraniumbend.wire import decode, encode, load_structs
+
+if TYPE_CHECKING:
+    from geraniumbend.adapters.rpc import RpcServer
+    from geraniumbend.configuration._store import ConfigurationStore
+    from geraniumbend.ports import Log, RpcCaller
+    from geraniumbend.timers import TimerService
+
+# An election takes under 2 s; a change waits for one and a retry.
+PROPOSE_TIMEOUT_S = 6.0
+ATTEMPT_TIMEOUT_S = 2.0
+RETRY_DELAY_S = 0.05
+
+
+class LeaderRelay:
+    """Passes proposals and read barriers of the configuration log to its leader.
+
+    Parameters
+    ----------
+    log : Log
+        Replica of the configuration log in this process.
+    store : ConfigurationStore
+        State machine of the log.
+    clients : RpcCaller
+        Calls to other control hosts.
+    timers : TimerService
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        store: ConfigurationStore,
+        clients: RpcCaller,
+        timers: TimerService,
+    ) -> None:
+        self._log = log
+        self._store = store
+        self._clients = clients
+        self._timers = timers
+
+    def register(self, server: RpcServer) -> None:
+        """Serve the calls of other control hosts."""
+        server.handle("configuration.propose")(self._log.propose)
+        server.handle("configuration.confirm")(self._send_confirmed)
+
+    async def propose(self, command: bytes) -> bytes:
+        """Return the result of a command, wherever the leader is.
+
+        The command is proposed again while its outcome is unknown, so it has to be
+        one that the state machine applies once, such as a change with its id.
+
+        Parameters
+        ----------
+        command : bytes
+            Command of the configuration log.
+
+        Returns
+        -------
+        bytes
+            Result of the state machine.
+
+        Raises
+        ------
+        UnavailableError
+            If no leader answered in time; the outcome is unknown.
+        """
+        deadline = self._timers.now() + PROPOSE_TIMEOUT_S
+        while True:
+            try:
+                return await self._attempt(command)
+            except UnavailableError as error:
+                if self._timers.now() + RETRY_DELAY_S > deadline:
+                    raise UnavailableError(
+                        f"the outcome of the change is unknown: {error.message}",
+                        "send it again with the same change id",
+                    ) from error
+            await self._timers.sleep(RETRY_DELAY_S)
+
+    async def confirm(self, timeout_s: float) -> int:
+        """Return a revision at least as new as every change accepted before.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time limit in seconds.
+
+        Returns
+        -------
+        int
+            Revision that the leader held after a read barrier.
+
+        Raises
+        ------
+        UnavailableError
+            If no leader with a majority answers in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._log.read_barrier()
+            return self._store.current.revision
+        except NotLeaderError as error:
+            if not error.leader:
+                raise
+            body = await self._clients.call(
+                error.leader, "configuration.confirm", b"", timeout_s
+            )
+            structs = load_structs("configuration")
+            return decode(structs.ConfirmedRevision, body).revision
+        except TimeoutError as error:
+            raise UnavailableError(
+                f"no majority confirmed the revision in {timeout_s:.3g} s",
+                "check that a majority of control hosts runs",
+            ) from error
+
+    async def _attempt(self, command: bytes) -> bytes:
+        try:
+            async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
+                return await self._log.propose(command)
+        except NotLeaderError as error:
+            if not error.leader:
+                raise
+            return await self._clients.call(
+                error.leader, "configuration.propose", command, ATTEMPT_TIMEOUT_S
+            )
+        except TimeoutError as error:
+            raise UnavailableError("the log did not answer in time") from error
+
+    async def _send_confirmed(self, body: bytes) -> bytes:
+        index = await self._log.read_barrier()
+        structs = load_structs("configuration")
+        revision = self._store.current.revision
+        return encode(structs.ConfirmedRevision(revision=revision, index=index))
--- /dev/null
+++ b/src/geraniumbend/configuration/_service.py
@@ -0,0 +1,385 @@
+from __future__ import annotations
+
+import time
+import uuid
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+
+import msgspec
+import xxhash
+
+from geraniumbend.configuration._files import FileContent, plan_operations
+from geraniumbend.configuration._operations import (
+    describe_operation,
+    encode_operations,
+)
+from geraniumbend.configuration._relay import LeaderRelay
+from geraniumbend.configuration._store import parse_backup
+from geraniumbend.configuration._subscriptions import Subscriptions
+from geraniumbend.configuration._validation import validate_operations
+from geraniumbend.errors import ConfigurationError, ConflictError, UnavailableError
+from geraniumbend.logs import declare_event, log_event
+from geraniumbend.model import Configuration
+from geraniumbend.wire import decode, encode, load_structs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Sequence
+
+    from geraniumbend.adapters.rpc import RpcServer
+    from geraniumbend.configuration._operations import Operation
+    from geraniumbend.configuration._store import ConfigurationStore
+    from geraniumbend.ports import Log, RpcCaller
+    from geraniumbend.timers import TimerService
+
+CONFIRM_TIMEOUT_S = 2.0
+IN_FORCE_PERIOD_S = 0.05
+
+declare_event(
+    610, "change_accepted", "info", "A change of the configuration was accepted."
+)
+
+
+class Member(Protocol):
+    """What this part reads of a member of the cluster."""
+
+    @property
+    def name(self) -> str:
+        """Name of the process."""
+        ...
+
+    @property
+    def role(self) -> str:
+        """Role, ``gateway`` or ``control``."""
+        ...
+
+    @property
+    def revision(self) -> int:
+        """Revision in use."""
+        ...
+
+
+class Members(Protocol):
+    """What this part uses of `membership.Membership`."""
+
+    def members(self) -> Sequence[Member]:
+        """Return the live members."""
+        ...
+
+
+class ChangeConflictError(ConflictError):
+    """Another change was accepted first; carries the values now in force.
+
+    Parameters
+    ----------
+    message, remedy, current_revision
+        See `ConflictError`.
+    current : dict
+        Values that the refused change touches, as they are in force.
+    """
+
+    def __init__(
+        self, message: str, remedy: str, current_revision: int, current: dict[str, Any]
+    ) -> None:
+        super().__init__(message, remedy, current_revision)
+        self.current = current
+
+
+class ChangeOutcome(NamedTuple):
+    """Outcome of an accepted change.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that the change made.
+    change_id : str
+        Id of the change.
+    repeated : bool
+        Whether the change had been accepted by an earlier request.
+    """
+
+    revision: int
+    change_id: str
+    repeated: bool
+
+
+class ConfigurationService:
+    """Accepts changes on any control host and serves subscribers.
+
+    Parameters
+    ----------
+    log : Log
+        Replica of the configuration log.
+    store : ConfigurationStore
+        State machine of the log.
+    membership : Members
+        Members with their revisions in use.
+    timers : TimerService
+        Source of time.
+    clients : RpcCaller
+        Calls to other control hosts.
+    policies : collection of str
+        Names of the known routing policies.
+    clock : callable, default=time.time
+        Unix time in seconds for the history; decisions do not depend on it.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        store: ConfigurationStore,
+        membership: Members,
+        timers: TimerService,
+        clients: RpcCaller,
+        policies: Collection[str],
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self.store = store
+        self._relay = LeaderRelay(log, store, clients, timers)
+        self._subscriptions = Subscriptions(self._relay, store, timers)
+        self._membership = membership
+        self._timers = timers
+        self._policies = policies
+        self._clock = clock
+
+    def register(self, server: RpcServer) -> None:
+        """Serve subscribers and other control hosts."""
+        self._relay.register(server)
+        self._subscriptions.register(server)
+
+    def start(self) -> None:
+        """Start background checks."""
+        self._subscriptions.start()
+
+    def stop(self) -> None:
+        """Stop background checks."""
+        self._subscriptions.stop()
+
+    async def apply(
+        self,
+        operations: Sequence[Operation],
+        expected_revision: int,
+        change_id: str,
+        operator: str,
+    ) -> ChangeOutcome:
+        """Apply a change as a whole.
+
+        Parameters
+        ----------
+        operations : sequence of Operation
+            Steps.
+        expected_revision : int
+            Revision that the operator looked at.
+        change_id : str
+            UUID chosen by the client; the same when the change is resent.
+        operator : str
+            Name of the operator's token.
+
+        Returns
+        -------
+        ChangeOutcome
+            Outcome; of the first request when the change was resent.
+
+        Raises
+        ------
+        ConfigurationError
+            If the change is invalid.
+        ChangeConflictError
+            If another revision is in force.
+        UnavailableError
+            If the outcome is unknown.
+        """
+        validate_operations(operations, self._policies)
+        described = [describe_operation(step) for step in operations]
+        digest = _digest([expected_revision, described])
+        return await self._propose_change(
+            operations, expected_revision, change_id, operator, digest
+        )
+
+    async def apply_file(
+        self, content: FileContent, prune: bool, change_id: str, operator: str
+    ) -> ChangeOutcome:
+        """Bring the configuration in force to the content of an operators' file.
+
+        Parameters
+        ----------
+        content : FileContent
+            Parsed file.
+        prune : bool
+            Whether entries that the file does not have are deleted.
+        change_id : str
+            UUID chosen by the client.
+        operator : str
+            Name of the operator's token.
+
+        Returns
+        -------
+        ChangeOutcome
+            Outcome, with the revision in force when nothing differs.
+
+        Raises
+        ------
+        GeraniumbendError
+            As in `apply`.
+        """
+        wanted = plan_operations(content, Configuration())
+        digest = _digest([prune, [describe_operation(step) for step in wanted]])
+        await self.confirm()
+        steps = plan_operations(content, self.store.current, prune)
+        revision = self.store.current.revision
+        if not steps and not self.store.knows(change_id):
+            return ChangeOutcome(revision, change_id, False)
+        if steps:
+            validate_operations(steps, self._policies)
+        return await self._propose_change(steps, revision, change_id, operator, digest)
+
+    async def restore(
+        self, document: dict[str, Any], change_id: str, operator: str
+    ) -> ChangeOutcome:
+        """Restore a backup into an empty cluster.
+
+        Parameters
+        ----------
+        document : dict
+            Output of `ConfigurationStore.backup`.
+        change_id : str
+            UUID chosen by the client.
+        operator : str
+            Name of the operator's token.
+
+        Returns
+        -------
+        ChangeOutcome
+            Outcome with a revision above all revisions of the lost cluster.
+
+        Raises
+        ------
+        ConfigurationError
+            If the document is no backup.
+        ChangeConflictError
+            If the cluster is not empty.
+        """
+        try:
+            parse_backup(document)
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ConfigurationError(
+                f"the document is no backup: {error!r}",
+                "use the output of geraniumbend backup",
+            ) from error
+        data = msgspec.json.encode(document)
+        structs = load_structs("configuration")
+        restoration = structs.Restoration(
+            change_id=_checked_id(change_id),
+            document=data,
+            operator=operator,
+            time_ms=int(self._clock() * 1000),
+            digest=_digest(document),
+        )
+        return await self._propose(structs.Command(restoration=restoration), change_id)
+
+    async def found(self, cluster_id: str, order_shards: int) -> None:
+        """Give a new cluster its id; without effect when it has one."""
+        structs = load_structs("configuration")
+        founding = structs.Founding(cluster_id=cluster_id, order_shards=order_shards)
+        await self._relay.propose(encode(structs.Command(founding=founding)))
+
+    async def confirm(self) -> int:
+        """Wait until this host holds every change accepted before the call.
+
+        Returns
+        -------
+        int
+            Revision in force.
+
+        Raises
+        ------
+        UnavailableError
+            If no majority answers, or this host lags behind.
+        """
+        revision = await self._relay.confirm(CONFIRM_TIMEOUT_S)
+        deadline = self._timers.now() + CONFIRM_TIMEOUT_S
+        while self.store.current.revision < revision:
+            if self._timers.now() >= deadline:
+                raise UnavailableError(
+                    f"this control host has not reached revision {revision}",
+                    "ask another control host",
+                )
+            await self._timers.sleep(IN_FORCE_PERIOD_S)
+        return self.store.current.revision
+
+    async def wait_in_force(self, revision: int, timeout_s: float) -> list[str]:
+        """Wait until all live gateways use a revision.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of an accepted change.
+        timeout_s : float
+            Time limit in seconds.
+
+        Returns
+        -------
+        list of str
+            Live gateways that do not use it yet; empty when all do.
+        """
+        deadline = self._timers.now() + timeout_s
+        while True:
+            missing = sorted(
+                member.name
+                for member in self._membership.members()
+                if member.role == "gateway" and member.revision < revision
+            )
+            if not missing or self._timers.now() >= deadline:
+                return missing
+            await self._timers.sleep(IN_FORCE_PERIOD_S)
+
+    async def wait_for_change(self, known: int, limit_s: float) -> None:
+        """Wait for a newer revision; see `Subscriptions.wait_for_change`."""
+        await self._subscriptions.wait_for_change(known, limit_s)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for the state dump."""
+        return {**self.store.dump(), "in_touch": self._subscriptions.in_touch}
+
+    async def _propose_change(
+        self,
+        operations: Sequence[Operation],
+        expected_revision: int,
+        change_id: str,
+        operator: str,
+        digest: str,
+    ) -> ChangeOutcome:
+        structs = load_structs("configuration")
+        change = structs.Change(
+            change_id=_checked_id(change_id),
+            expected_revision=expected_revision,
+            operations=encode_operations(operations),
+            operator=operator,
+            time_ms=int(self._clock() * 1000),
+            digest=digest,
+        )
+        return await self._propose(structs.Command(change=change), change_id)
+
+    async def _propose(self, command: Any, change_id: str) -> ChangeOutcome:
+        result = await self._relay.propose(encode(command))
+        outcome = decode(load_structs("configuration").Outcome, result)
+        if outcome.state == "invalid":
+            raise ConfigurationError(outcome.message, outcome.remedy)
+        if outcome.state == "conflict":
+            current = msgspec.json.decode(outcome.current or b"{}")
+            raise ChangeConflictError(
+                outcome.message, outcome.remedy, outcome.revision, current
+            )
+        log_event(610, revision=outcome.revision, change_id=change_id)
+        return ChangeOutcome(outcome.revision, change_id, outcome.repeated)
+
+
+def _checked_id(change_id: str) -> str:
+    try:
+        return str(uuid.UUID(change_id))
+    except ValueError as error:
+        raise ConfigurationError(
+            f"change id {change_id!r} is no UUID", "send a new random UUID"
+        ) from error
+
+
+def _digest(value: Any) -> str:
+    return xxhash.xxh3_128_hexdigest(msgspec.json.encode(value, order="sorted"))
--- a/src/geraniumbend/configuration/_store.py
+++ b/src/geraniumbend/configuration/_store.py
@@ -4,7 +4,6 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
-import xxhash
 
 from geraniumbend.configuration._operations import (
     apply_operations,
@@ -61,6 +60,22 @@
     outcome: bytes
 
 
+def parse_backup(document: dict[str, Any]) -> Configuration:
+    """Return the configuration of a backup.
+
+    Parameters
+    ----------
+    document : dict
+        Output of `ConfigurationStore.backup`.
+
+    Returns
+    -------
+    Configuration
+        Configuration with the revision it had in the lost cluster.
+    """
+    return parse_configuration(document["configuration"])
+
+
 class ConfigurationStore:
     """State machine of the configuration log.
 
@@ -100,13 +115,9 @@
         self.applied_index = index
         wanted = decode(load_structs("configuration").Command, command)
         if wanted.change is not None:
-            change = wanted.change
-            return self._apply_once(change, change.operations, self._perform_change)
+            return self._apply_once(wanted.change, self._perform_change)
         if wanted.restoration is not None:
-            restoration = wanted.restoration
-            return self._apply_once(
-                restoration, restoration.document, self._perform_restoration
-            )
+            return self._apply_once(wanted.restoration, self._perform_restoration)
         if wanted.founding is not None:
             return self._found(wanted.founding)
         raise ProtocolError(
@@ -180,6 +191,10 @@
             return None
         return [entry for entry in self.history if entry.revision > revision]
 
+    def knows(self, change_id: str) -> bool:
+        """Tell whether the outcome of a change id is recorded."""
+        return change_id in self._outcomes
+
     def backup(self) -> dict[str, Any]:
         """Return cluster id, revision and configuration for an operator's backup."""
         return {
@@ -201,20 +216,17 @@
             "recorded_outcomes": len(self._outcomes),
         }
 
-    def _apply_once(
-        self, wanted: Any, content: bytes, perform: Callable[[Any], Any]
-    ) -> bytes:
+    def _apply_once(self, wanted: Any, perform: Callable[[Any], Any]) -> bytes:
         self._time_ms = max(self._time_ms, wanted.time_ms)
-        digest = xxhash.xxh3_128_hexdigest(
-            msgspec.json.encode([getattr(wanted, "expected_revision", -1), content])
-        )
         recorded = self._outcomes.get(wanted.change_id)
         if recorded is None:
             outcome = encode(perform(wanted))
-            self._record(wanted.change_id, _Recorded(digest, self._time_ms, outcome))
+            self._record(
+                wanted.change_id, _Recorded(wanted.digest, self._time_ms, outcome)
+            )
             return outcome
         structs = load_structs("configuration")
-        if recorded.digest != digest:
+        if recorded.digest != wanted.digest:
             return encode(
                 structs.Outcome(
                     state="conflict",
@@ -274,9 +286,7 @@
                 message="a backup can only be restored into an empty cluster",
                 remedy="start new control hosts with empty data folders",
             )
-        saved = parse_configuration(
-            msgspec.json.decode(restoration.document)["configuration"]
-        )
+        saved = parse_backup(msgspec.json.decode(restoration.document))
         revision = (saved.revision // EPOCH + 1) * EPOCH
         self._install(saved._replace(revision=revision), restoration, b"[]")
         return structs.Outcome(state="applied", revision=revision)
--- /dev/null
+++ b/src/geraniumbend/configuration/_waiting.py
@@ -0,0 +1,36 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from geraniumbend.timers import TimerService
+
+
+class Signal:
+    """Wakes all tasks that wait for the next notification.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Source of time for the limits of the waits.
+    """
+
+    def __init__(self, timers: TimerService) -> None:
+        self._timers = timers
+        self._event = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake all tasks that wait now."""
+        self._event.set()
+        self._event = asyncio.Event()
+
+    async def wait(self, limit_s: float) -> None:
+        """Wait for the next notification or until a time limit in seconds."""
+        noticed = asyncio.ensure_future(self._event.wait())
+        expired = asyncio.ensure_future(self._timers.sleep(limit_s))
+        try:
+            await asyncio.wait([noticed, expired], return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            noticed.cancel()
+            expired.cancel()
--- a/src/geraniumbend/wire/configuration.thrift
+++ b/src/geraniumbend/wire/configuration.thrift
@@ -7,6 +7,8 @@
   3: binary operations = ""
   4: string operator = ""
   5: i64 time_ms = 0
+  /** Digest of what the client sent; a resent change has the same one. */
+  6: string digest = ""
 }
 
 /** First entry of a new cluster. */
@@ -21,6 +23,7 @@
   2: binary document = ""
   3: string operator = ""
   4: i64 time_ms = 0
+  5: string digest = ""
 }
 
 /** Command of the configuration log; exactly one member is set. */
--- /dev/null
+++ b/tests/configuration/cluster.py
@@ -0,0 +1,85 @@
+"""Control hosts that share one log in memory, without disk or network."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from geraniumbend.configuration import ConfigurationService, ConfigurationStore
+from geraniumbend.errors import NotLeaderError, UnavailableError
+
+
+class FakeMember(NamedTuple):
+    name: str
+    role: str
+    revision: int
+
+
+class FakeLog:
+    def __init__(self, cluster, address):
+        self.cluster, self.address = cluster, address
+
+    def _check(self):
+        if self.address in self.cluster.cut or not self.cluster.leader:
+            raise NotLeaderError("not the leader", "", "")
+        if self.cluster.leader != self.address:
+            raise NotLeaderError("not the leader", "", self.cluster.leader)
+
+    async def propose(self, command):
+        self._check()
+        result = self.cluster.commit(command)
+        if self.cluster.lose_answers:
+            self.cluster.lose_answers -= 1
+            raise UnavailableError("answer lost")
+        return result
+
+    async def read_barrier(self):
+        self._check()
+        return self.cluster.index
+
+
+class FakeCluster:
+    """Acts as cluster, as server of one host, and as clients of all hosts."""
+
+    def __init__(self, timers, names=("a", "b", "c")):
+        self.leader, self.index = names[0], 0
+        self.cut, self.silent, self.calls = set(), set(), []
+        self.lose_answers = 0
+        self.members_list = []
+        self.stores = {name: ConfigurationStore() for name in names}
+        self.handlers = {name: {} for name in names}
+        self.services = {}
+        self.timers = timers
+        for name, store in self.stores.items():
+            service = ConfigurationService(
+                FakeLog(self, name), store, self, timers, self, ["default"]
+            )
+            self._registering = name
+            service.register(self)
+            self.services[name] = service
+
+    def handle(self, method):
+        return lambda handler: self.handlers[self._registering].update(
+            {method: handler}
+        )
+
+    def members(self):
+        return self.members_list
+
+    def commit(self, command):
+        self.index += 1
+        results = [
+            store.apply(self.index, command)
+            for name, store in self.stores.items()
+            if name not in self.cut
+        ]
+        return results[0]
+
+    async def call(self, address, method, body, timeout_s):
+        self.calls.append((address, method))
+        if address in self.silent:
+            await self.timers.sleep(timeout_s)
+            raise UnavailableError("no answer")
+        return await asyncio.shield(
+            asyncio.ensure_future(self.handlers[address][method](body))
+        )
