--- a/src/geraniumbend/configuration/__init__.py
+++ b/src/geraniumbend/configuration/__init__.py
@@ -33,6 +33,7 @@
 from geraniumbend.configuration._store import ConfigurationStore, HistoryEntry
 from geraniumbend.configuration._validation import validate_operations
 from geraniumbend.configuration._view import ConfigurationView
+from geraniumbend.configuration._waiting import Signal
 
 __all__ = [
     "ChangeConflictError",
@@ -50,6 +51,7 @@
     "SetGroup",
     "SetLabels",
     "SetRule",
+    "Signal",
     "apply_operations",
     "describe",
     "describe_configuration",
--- a/src/geraniumbend/configuration/_waiting.py
+++ b/src/geraniumbend/configuration/_waiting.py
@@ -18,6 +18,7 @@
 
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
+        self.waiters = 0
         self._event = asyncio.Event()
 
     def notify(self) -> None:
@@ -29,8 +30,10 @@
         """Wait for the next notification or until a time limit in seconds."""
         noticed = asyncio.ensure_future(self._event.wait())
         expired = asyncio.ensure_future(self._timers.sleep(limit_s))
+        self.waiters += 1
         try:
             await asyncio.wait([noticed, expired], return_when=asyncio.FIRST_COMPLETED)
         finally:
+            self.waiters -= 1
             noticed.cancel()
             expired.cancel()
--- /dev/null
+++ b/tests/orders/test_orders.py
@@ -0,0 +1,180 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from geraniumbend.errors import NotLeaderError, RefusedError, UnavailableError
+from geraniumbend.orders import OrderClient, OrderJournal, OrderService, OrderShard
+from geraniumbend.orders import _journal as journal_module
+from geraniumbend.timers import ManualTimers
+from geraniumbend.wire import encode, load_structs
+
+
+class FakeHost:
+    """One control host; also its log, its RPC server and the clients to it."""
+
+    def __init__(self, timers, shards=1):
+        self.timers, self.handlers, self.index = timers, {}, 0
+        self.lose_answers, self.down, self.proposals = 0, False, 0
+        self.journals = [OrderJournal() for _ in range(shards)]
+        logs = [OrderShard(FakeLog(self, j), j) for j in self.journals]
+        self.service = OrderService(logs, timers)
+        self.service.register(self)
+
+    def handle(self, method):
+        return lambda handler: self.handlers.update({method: handler})
+
+    async def call(self, address, method, body, timeout_s):
+        if address != "leader":
+            raise NotLeaderError("not here", "", "leader")
+        if self.down:
+            raise UnavailableError("down")
+        answer = await self.handlers[method](body)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise UnavailableError("answer lost")
+        return answer
+
+
+class FakeLog:
+    def __init__(self, host, journal):
+        self.host, self.journal = host, journal
+
+    async def propose(self, command):
+        self.host.index += 1
+        return self.journal.apply(self.host.index, command)
+
+    async def read_barrier(self):
+        return self.host.index
+
+
+class OrdersTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.host = FakeHost(self.timers, shards=3)
+        hosts = ["leader", "other"]
+        self.one = OrderClient(hosts, self.host, self.timers)
+        self.two = OrderClient(hosts, self.host, self.timers)
+
+    async def claim(self, client, key="k", caller=b"ann", body=b"pay", deadline_s=5.0):
+        task = asyncio.ensure_future(
+            client.claim(key, caller, body, "gateway", deadline_s)
+        )
+        for _ in range(200):
+            await self.timers.advance(0.05)
+            if task.done():
+                break
+        return await task
+
+    def orders(self):
+        return sum(len(journal._orders) for journal in self.host.journals)
+
+    async def test_retry_of_a_completed_order_gets_the_same_bytes(self):
+        claim = await self.claim(self.one)
+        self.assertEqual(claim.state, "granted")
+        self.assertTrue(await self.one.complete(claim, b"paid\x00\xff"))
+        again = await self.claim(self.two)
+        self.assertEqual((again.state, again.answer), ("completed", b"paid\x00\xff"))
+
+    async def test_foreign_caller_or_body_gets_no_answer(self):
+        claim = await self.claim(self.one)
+        await self.one.complete(claim, b"secret")
+        for changed in ({"caller": b"bob"}, {"body": b"pay more"}):
+            refused = await self.claim(self.two, **changed)
+            self.assertEqual((refused.state, refused.answer), ("mismatch", None))
+
+    async def test_retry_of_a_running_order_is_woken_by_its_end(self):
+        claim = await self.claim(self.one)
+        waiting = asyncio.ensure_future(
+            self.two.claim("k", b"ann", b"pay", "gateway", 5.0)
+        )
+        await self.timers.advance(1)
+        self.assertFalse(waiting.done())
+        await self.one.complete(claim, b"paid")
+        await self.timers.advance(0)
+        self.assertEqual((await waiting).answer, b"paid")
+        self.assertEqual(self.host.service._waiting, {})
+
+    async def test_retry_of_an_order_that_does_not_end_is_running_at_its_deadline(self):
+        await self.claim(self.one, deadline_s=60)
+        self.assertEqual((await self.claim(self.two, deadline_s=2)).state, "running")
+
+    async def test_order_of_a_dead_gateway_becomes_unknown_and_stays_so(self):
+        await self.claim(self.one, deadline_s=1)
+        self.host.service.start()
+        await self.timers.advance(10)
+        for _ in range(2):
+            self.assertEqual((await self.claim(self.two)).state, "unknown")
+        self.host.service.stop()
+
+    async def test_claim_whose_answers_were_lost_is_granted_by_the_same_token(self):
+        self.host.lose_answers = 2
+        self.assertEqual((await self.claim(self.one)).state, "granted")
+
+    async def test_claim_given_up_without_answer_does_not_block_its_key(self):
+        self.host.lose_answers = 10_000
+        with self.assertRaises(RefusedError) as caught:
+            await self.claim(self.one, deadline_s=0.5)
+        self.assertEqual(caught.exception.run, "not_run")
+        self.host.lose_answers = 0
+        await self.timers.advance(2)
+        self.assertEqual((await self.claim(self.two, body=b"pay")).state, "granted")
+
+    async def test_cancelled_claim_does_not_block_its_key(self):
+        self.host.lose_answers = 1
+        task = asyncio.ensure_future(self.one.claim("k", b"ann", b"pay", "g", 5.0))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        task.cancel()
+        await self.timers.advance(2)
+        self.assertEqual((await self.claim(self.two)).state, "granted")
+
+    async def test_released_order_may_run_and_a_completed_one_cannot_be_released(self):
+        claim = await self.claim(self.one)
+        self.assertTrue(await self.one.release(claim))
+        second = await self.claim(self.two)
+        self.assertEqual(second.state, "granted")
+        await self.two.complete(second, b"paid")
+        self.assertFalse(await self.two.release(second))
+        self.assertEqual((await self.claim(self.one)).answer, b"paid")
+
+    async def test_completion_is_sent_again_until_the_journal_is_back(self):
+        claim = await self.claim(self.one)
+        self.host.down = True
+        completing = asyncio.ensure_future(self.one.complete(claim, b"paid"))
+        await self.timers.advance(4)
+        self.assertFalse(await completing)
+        self.host.down = False
+        await self.timers.advance(2)
+        self.assertEqual((await self.claim(self.two)).answer, b"paid")
+
+    async def test_answer_above_the_limit_is_completed_but_not_kept(self):
+        claim = await self.claim(self.one)
+        await self.one.complete(claim, b"x" * (256 * 1024 + 1))
+        again = await self.claim(self.two)
+        self.assertEqual((again.state, again.answer), ("unknown", None))
+        self.assertIn("has run", again.detail)
+
+    async def test_full_journal_refuses_and_expiry_makes_room(self):
+        self.addCleanup(setattr, journal_module, "MAX_ORDERS", 200_000)
+        journal_module.MAX_ORDERS = 1
+        self.host = FakeHost(self.timers)
+        client = OrderClient(["leader"], self.host, self.timers)
+        await client.complete(await self.claim(client), b"paid")
+        with self.assertRaises(RefusedError):
+            await self.claim(client, key="other")
+        structs = load_structs("orders")
+        advance = structs.AdvanceClock(elapsed_ms=24 * 3600 * 1000)
+        self.host.journals[0].apply(99, encode(structs.OrderCommand(advance=advance)))
+        self.assertEqual((await self.claim(client, key="other")).state, "granted")
+        self.assertEqual(self.host.journals[0].dump()["answers_bytes"], 0)
+
+    async def test_answers_above_the_memory_limit_drop_the_oldest_bytes_only(self):
+        self.addCleanup(setattr, journal_module, "MAX_ANSWERS_BYTES", 64 * 1024 * 1024)
+        journal_module.MAX_ANSWERS_BYTES = 10
+        self.host = FakeHost(self.timers)
+        client = OrderClient(["leader"], self.host, self.timers)
+        for key in ("first", "second"):
+            await client.complete(await self.claim(client, key=key), b"12345678")
+        self.assertEqual((await self.claim(client, key="first")).state, "unknown")
+        self.assertEqual((await self.claim(client, key="second")).state, "completed")
