Build one file that runs all roles as one process

Cause: the program has to run on hosts without our libraries, and no process may start another; one-file bundlers that keep their loader as parent process break that. Ruled out: PyInstaller one-file (parent process stays), zip applications (need an installed Python). The two roles start without the command line library. Conclusion: sanic needs TOUCHUP off in the one-file program.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 VENV ?= .venv
 PYTHON ?= python3
 RUN = PYTHONPATH=src:. PYTHONHASHSEED=0 $(VENV)/bin/python
-PATHS = src tests bench
+PATHS = src tests bench tools
 
-.PHONY: demo test lint format types bench binary fuzz docs clean
+.PHONY: demo test lint format types bench binary test-binary fuzz docs
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -31,3 +31,9 @@
 
 bench: $(VENV)/.installed
 	$(RUN) -m bench report
+
+binary: $(VENV)/.installed
+	$(RUN) tools/binary.py
+
+test-binary: binary
+	GERANIUMBEND_PROGRAM=dist/geraniumbend $(RUN) -m nose2 -v tests.tools.test_binary_program
--- a/bench/_cluster.py
+++ b/bench/_cluster.py
@@ -50,12 +50,16 @@
     async def start(self) -> None:
         """Start the process; its log goes to a file beside the settings."""
         path = self.folder / f"{self.name}.toml"
-        path.write_text(tomli_w.dumps(self.settings))
+        self.write_settings(path)
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.running = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "geraniumbend", self.role, str(path), stderr=log
             )
 
+    def write_settings(self, path: Path) -> None:
+        """Write the settings document to a file."""
+        path.write_text(tomli_w.dumps(self.settings))
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self.running is not None
--- a/src/geraniumbend/cli/__init__.py
+++ b/src/geraniumbend/cli/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from geraniumbend.cli._application import build_application, commands
+from geraniumbend.cli._processes import processes
 
-__all__ = ["build_application", "commands"]
+__all__ = ["build_application", "commands", "processes"]
--- a/src/geraniumbend/cli/_processes.py
+++ b/src/geraniumbend/cli/_processes.py
@@ -3,27 +3,29 @@
 import asyncio
 import gc
 import signal
+from collections.abc import Callable
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import Any
 
 from geraniumbend.cli._application import commands
 from geraniumbend.logs import configure_logs, declare_event, log_event
+from geraniumbend.registries import Registry
 from geraniumbend.settings import load_settings
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-    from typing import Any
-
 # Full collections stop the event loop for milliseconds, which shows in the 99th
 # percentile; a higher threshold makes them rare.
 COLLECTION_THRESHOLD = 50_000
 
+# Commands that run until a signal stops them.
+processes: Registry[Callable[[Path], int]] = Registry("process command")
+
 declare_event(900, "process_started", "info", "The process serves its listeners.")
 declare_event(901, "process_stopping", "info", "A signal asked the process to stop.")
 declare_event(902, "process_stopped", "info", "The process has shut down gracefully.")
 
 
 @commands.register("gateway")
+@processes.register("gateway")
 def run_gateway(settings: Path) -> int:
     """Run the gateway role.
 
@@ -43,6 +45,7 @@
 
 
 @commands.register("control")
+@processes.register("control")
 def run_control(settings: Path) -> int:
     """Run the control role.
 
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -45,6 +45,8 @@
         self._rpc.handle("configuration.get")(self._send_configuration)
         await self._rpc.start()
         application = Sanic("geraniumbend-control", configure_logging=False)
+        # Sanic rewrites methods from their source, which the one-file program lacks.
+        application.config.TOUCHUP = False
         logging.getLogger("sanic").setLevel(logging.WARNING)
         application.add_route(self._apply, "/v1/configuration", methods=["POST"])
         application.add_route(self._get, "/v1/configuration", methods=["GET"])
--- a/src/geraniumbend/run.py
+++ b/src/geraniumbend/run.py
@@ -4,16 +4,19 @@
 
 import os
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
 
-from geraniumbend.cli import build_application
 from geraniumbend.errors import GeraniumbendError
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
 USAGE_EXIT_CODE = 2
 INTERRUPT_EXIT_CODE = 130
+# These start without the command line library, which would add to the resident memory
+# of every host.
+PROCESS_COMMANDS = ("control", "gateway")
 
 
 def run(arguments: Sequence[str]) -> int:
@@ -29,8 +32,22 @@
     int
         Exit code: 0 on success, 2 on wrong usage, else the code of the error kind.
     """
+    if len(arguments) == 2 and arguments[0] in PROCESS_COMMANDS:
+        return _report_errors(lambda: _run_process(*arguments))
+    return _report_errors(lambda: _run_command(arguments))
+
+
+def _run_process(name: str, path: str) -> int:
+    from geraniumbend.cli import processes
+
+    return processes.get(name)(Path(path))
+
+
+def _run_command(arguments: Sequence[str]) -> int:
     from cyclopts import CycloptsError
 
+    from geraniumbend.cli import build_application
+
     application = build_application()
     try:
         result = application(
@@ -38,6 +55,12 @@
         )
     except CycloptsError:
         return USAGE_EXIT_CODE
+    return result if isinstance(result, int) else 0
+
+
+def _report_errors(call: Callable[[], int]) -> int:
+    try:
+        return call()
     except GeraniumbendError as error:
         if os.environ.get("GERANIUMBEND_TRACEBACK"):
             raise
@@ -45,4 +68,3 @@
         return error.exit_code
     except KeyboardInterrupt:
         return INTERRUPT_EXIT_CODE
-    return result if isinstance(result, int) else 0
--- /dev/null
+++ b/tests/tools/test_binary_program.py
@@ -0,0 +1,85 @@
+"""Tests of the one-file program; run by ``make test-binary``, which builds it."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import tempfile
+import time
+import unittest
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+from bench._cluster import Cluster
+
+PROGRAM = Path(os.environ.get("GERANIUMBEND_PROGRAM", ""))
+
+
+@unittest.skipUnless(os.environ.get("GERANIUMBEND_PROGRAM"), "run by make test-binary")
+class BinaryProgramTest(unittest.TestCase):
+    def setUp(self):
+        self.cache = tempfile.TemporaryDirectory()
+        # No PATH and no Python variables: nothing of this machine's is found.
+        self.environment = {"GERANIUMBEND_CACHE": self.cache.name}
+
+    def tearDown(self):
+        self.cache.cleanup()
+
+    def run_program(self, *arguments):
+        return subprocess.run(
+            [PROGRAM, *arguments],
+            env=self.environment,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def test_version_is_printed_without_any_installed_python(self):
+        self.assertEqual(self.run_program("--version").stdout.strip(), "0.1.0")
+
+    def test_shared_cache_folder_is_refused(self):
+        os.chmod(self.cache.name, 0o777)
+        answer = self.run_program("--version")
+        self.assertEqual(answer.returncode, 7)
+        self.assertIn("not private", answer.stderr)
+
+    def test_each_role_runs_as_one_process(self):
+        cluster = Cluster(gateways=1, controls=1)
+        for process in cluster.controls + cluster.gateways:
+            with self.subTest(process.role):
+                self.check_role(process)
+
+    def check_role(self, process):
+        path = process.folder / f"{process.name}.toml"
+        process.write_settings(path)
+        command = [PROGRAM, process.role, str(path)]
+        running = subprocess.Popen(
+            command, env=self.environment, stderr=subprocess.DEVNULL
+        )
+        try:
+            self.wait_for_listener(process.settings[process.role])
+            tasks = Path(f"/proc/{running.pid}/task")
+            children = [(task / "children").read_text() for task in tasks.iterdir()]
+            self.assertEqual("".join(children).strip(), "")
+            self.assertEqual(
+                Path(f"/proc/{running.pid}/exe").resolve().parent.parent,
+                Path(self.cache.name).resolve(),
+            )
+        finally:
+            running.terminate()
+            self.assertEqual(running.wait(timeout=20), 0)
+
+    def wait_for_listener(self, settings):
+        port = settings.get("operators", settings.get("announce"))["port"]
+        deadline = time.monotonic() + 20
+        while time.monotonic() < deadline:
+            try:
+                urllib.request.urlopen(f"http://127.0.0.1:{port}/readyz", timeout=1)
+            except urllib.error.HTTPError:
+                return
+            except OSError:
+                time.sleep(0.1)
+            else:
+                return
+        self.fail(f"no listener on port {port}")
