--- a/src/geraniumbend/configuration/__init__.py
+++ b/src/geraniumbend/configuration/__init__.py
@@ -1,1 +1,65 @@
 """Replicated configuration and its distribution."""
+
+from __future__ import annotations
+
+from geraniumbend.configuration._documents import describe, parse
+from geraniumbend.configuration._files import (
+    FileContent,
+    describe_diff,
+    parse_file,
+    plan_operations,
+    write_file,
+)
+from geraniumbend.configuration._follower import ConfigurationFollower
+from geraniumbend.configuration._operations import (
+    DeleteGroup,
+    DeleteRule,
+    Operation,
+    RemoveLabels,
+    SetGroup,
+    SetLabels,
+    SetRule,
+    apply_operations,
+    describe_configuration,
+    describe_operation,
+    parse_configuration,
+    parse_operation,
+)
+from geraniumbend.configuration._service import (
+    ChangeConflictError,
+    ChangeOutcome,
+    ConfigurationService,
+)
+from geraniumbend.configuration._store import ConfigurationStore, HistoryEntry
+from geraniumbend.configuration._validation import validate_operations
+from geraniumbend.configuration._view import ConfigurationView
+
+__all__ = [
+    "ChangeConflictError",
+    "ChangeOutcome",
+    "ConfigurationFollower",
+    "ConfigurationService",
+    "ConfigurationStore",
+    "ConfigurationView",
+    "DeleteGroup",
+    "DeleteRule",
+    "FileContent",
+    "HistoryEntry",
+    "Operation",
+    "RemoveLabels",
+    "SetGroup",
+    "SetLabels",
+    "SetRule",
+    "apply_operations",
+    "describe",
+    "describe_configuration",
+    "describe_diff",
+    "describe_operation",
+    "parse",
+    "parse_configuration",
+    "parse_file",
+    "parse_operation",
+    "plan_operations",
+    "validate_operations",
+    "write_file",
+]
