Choose backend servers by expected time to the response

Groups had selectors but nothing that chose a server. ServerTable holds the members of each group with operators' label overrides applied; ServerView holds own requests, aged load reports, latency, errors and the ramp of a restarted server; Router chooses by a registered policy, keeps long requests in a lane in rendezvous order, and sends trial requests to servers that it avoids.

--- a/src/geraniumbend/routing/__init__.py
+++ b/src/geraniumbend/routing/__init__.py
@@ -2,14 +2,33 @@
 
 from __future__ import annotations
 
+from geraniumbend.routing._costs import RequestCosts
+from geraniumbend.routing._lanes import Lanes, LaneTable
 from geraniumbend.routing._matching import RequestFacts, RuleTable, compile_pattern
+from geraniumbend.routing._policies import Choice, Policy, policies
+from geraniumbend.routing._reports import LoadReport, parse_report
+from geraniumbend.routing._router import Router
 from geraniumbend.routing._selectors import Requirement, Selector, parse_selector
+from geraniumbend.routing._table import ServerTable
+from geraniumbend.routing._views import Outcome, ServerView
 
 __all__ = [
+    "Choice",
+    "LaneTable",
+    "Lanes",
+    "LoadReport",
+    "Outcome",
+    "Policy",
+    "RequestCosts",
     "RequestFacts",
     "Requirement",
+    "Router",
     "RuleTable",
     "Selector",
+    "ServerTable",
+    "ServerView",
     "compile_pattern",
+    "parse_report",
     "parse_selector",
+    "policies",
 ]
--- /dev/null
+++ b/src/geraniumbend/routing/_router.py
@@ -0,0 +1,294 @@
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Protocol
+
+from geraniumbend.errors import RefusedError
+from geraniumbend.logs import declare_event, log_event
+from geraniumbend.routing._lanes import LaneTable
+from geraniumbend.routing._policies import Choice, Policy, policies, score
+from geraniumbend.routing._reports import parse_report
+from geraniumbend.routing._subsets import choose_subset
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from geraniumbend.routing._table import ServerTable
+    from geraniumbend.routing._views import Outcome, ServerView
+    from geraniumbend.settings import Settings
+    from geraniumbend.timers import TimerService
+
+# A server that looks this many times worse than the group's mean gets trial requests
+# only, because sampling would never choose it and nothing would show its recovery.
+TRIAL_FACTOR = 3.0
+# Seconds between trial requests of one gateway to one server; doubled with each
+# failed trial up to the limit, and an eighth of it after a successful one.
+TRIAL_PERIOD_S = 2.0
+TRIAL_LIMIT_S = 16.0
+# Short requests leave their lane for a server of the long lane only when it looks
+# this many times better, because a long request may follow it there.
+SPILL_FACTOR = 4.0
+
+declare_event(
+    300,
+    "server_avoided",
+    "warning",
+    "A backend server is so slow or fails so often that it gets only trial requests.",
+)
+declare_event(
+    301, "server_recovered", "info", "An avoided backend server gets traffic again."
+)
+
+
+class SharePort(Protocol):
+    """Share of this gateway in common budgets."""
+
+    def gateway_share(self) -> float:
+        """Return one divided by the number of live gateways."""
+        ...
+
+
+class Router:
+    """Chooses backend servers and learns from their responses.
+
+    Parameters
+    ----------
+    table : ServerTable
+        Members of the groups.
+    shares : SharePort
+        Share of this gateway.
+    timers : TimerService
+        Clock.
+    node : str, default=""
+        Name of this gateway.
+    failure_domain : str, default=""
+        Failure domain of this gateway.
+    seed : int or None, default=None
+        Seed of the sampling.
+    """
+
+    def __init__(
+        self,
+        table: ServerTable,
+        shares: SharePort,
+        timers: TimerService,
+        node: str = "",
+        failure_domain: str = "",
+        seed: int | None = None,
+    ) -> None:
+        self.lanes = LaneTable(table, timers)
+        self._table = table
+        self._shares = shares
+        self._timers = timers
+        self._node = node
+        self._failure_domain = failure_domain
+        self._random = random.Random(seed)
+        self._policies: dict[tuple[str, str], Policy] = {}
+        self._subsets: dict[str, tuple[int, float, frozenset[str]]] = {}
+        self._avoided: set[str] = set()
+        self._next_scan: dict[str, float] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        table: ServerTable,
+        shares: SharePort,
+        timers: TimerService,
+    ) -> Router:
+        """Build the router of a gateway."""
+        node = settings.node
+        return cls(table, shares, timers, node.name, node.failure_domain)
+
+    def choose(
+        self,
+        group: str,
+        request_class: str,
+        excluded: Collection[str],
+        deadline_s: float,
+        trial: bool = True,
+    ) -> ServerView:
+        """Choose a backend server for a request.
+
+        Parameters
+        ----------
+        group : str
+            Name of the group.
+        request_class : str
+            Class of the request.
+        excluded : collection of str
+            Ids of servers already tried.
+        deadline_s : float
+            Time left for the response, in seconds.
+        trial : bool, default=True
+            Whether the request may serve to try a server that failed before. False
+            for requests that must not be repeated.
+
+        Returns
+        -------
+        ServerView
+            Server to send the request to.
+
+        Raises
+        ------
+        RefusedError
+            If the group has no member that takes new work and was not tried.
+        """
+        members = self._members(group)
+        if excluded:
+            members = [view for view in members if view.server_id not in excluded]
+        if not members:
+            raise RefusedError(
+                f"group {group!r} has no backend server left to try",
+                "retry later; the operator checks the group's selector and servers",
+                kind="no_backend_server",
+                retry_after_s=1.0,
+            )
+        if len(members) == 1:
+            return members[0]
+        choice = self._build_choice(group, request_class, deadline_s)
+        policy = self._policy(group)
+        if not policy.ranks_servers:
+            return policy.choose(members, choice)
+        if trial and not excluded:
+            due = self._find_trial(group, members, choice)
+            if due is not None:
+                return due
+        return self._choose_in_lane(group, members, choice, policy)
+
+    def start_request(self, view: ServerView, request_class: str) -> None:
+        """Count a request that is sent to a server."""
+        view.start(request_class, self._timers.now())
+
+    def finish_request(
+        self, view: ServerView, request_class: str, outcome: Outcome
+    ) -> None:
+        """Learn from the end of a request.
+
+        Parameters
+        ----------
+        view : ServerView
+            Server that ran the request.
+        request_class : str
+            Class of the request.
+        outcome : Outcome
+            What happened.
+        """
+        now = self._timers.now()
+        view.finish(request_class, outcome, now)
+        failed = outcome.failed or outcome.status >= 500
+        if not failed:
+            reported = view.reported_in_flight()
+            fresh = reported is not None and now - view.report_at < 1.0
+            queueing = max(1.0, (reported or 0.0) / view.slots) if fresh else 1.0
+            for group in view.groups:
+                self._table.costs.observe(
+                    group, request_class, outcome.latency_s / queueing
+                )
+        if view.server_id in self._avoided:
+            self._finish_trial(view, failed)
+
+    def observe_report(self, view: ServerView, header_value: str) -> None:
+        """Take the ``endpoint-load-metrics`` header of a response."""
+        report = parse_report(header_value)
+        if report is not None:
+            view.observe_report(report, self._timers.now())
+
+    def _members(self, group: str) -> list[ServerView]:
+        members = self._table.available(group)
+        if len(members) <= 100:
+            return members
+        share = self._shares.gateway_share()
+        known = self._subsets.get(group)
+        if known is None or known[:2] != (self._table.version, share):
+            subset = choose_subset(self._node, group, members, share)
+            names = frozenset(view.server_id for view in subset)
+            known = self._subsets[group] = (self._table.version, share, names)
+        return [view for view in members if view.server_id in known[2]]
+
+    def _policy(self, group: str) -> Policy:
+        configuration = self._table.configuration
+        known = configuration.groups.get(group) if configuration else None
+        key = (group, known.policy if known else "default")
+        if key not in self._policies:
+            self._policies[key] = policies.get(key[1])()
+        return self._policies[key]
+
+    def _build_choice(
+        self, group: str, request_class: str, deadline_s: float
+    ) -> Choice:
+        cost = self._table.costs.cost(group, request_class)
+        return Choice(
+            request_class=request_class,
+            deadline_s=deadline_s,
+            now=self._timers.now(),
+            mean_s=cost.mean_s if cost else 0.1,
+            tail_s=1.5 * cost.tail_s if cost else 1.0,
+            utilization=self._table.typical_utilization(group),
+            failure_domain=self._failure_domain,
+            random=self._random,
+        )
+
+    def _choose_in_lane(
+        self, group: str, members: list[ServerView], choice: Choice, policy: Policy
+    ) -> ServerView:
+        lanes = self.lanes.lanes(group)
+        if not lanes.long:
+            return policy.choose(members, choice)
+        in_lane = {view.server_id for view in lanes.long}
+        long = [view for view in members if view.server_id in in_lane]
+        short = [view for view in members if view.server_id not in in_lane]
+        classes = self._table.costs.long_classes(group)
+        if choice.request_class in classes:
+            free = [
+                view
+                for view in long
+                if view.count_in_flight(classes) < max(1, view.slots // 2)
+            ]
+            return policy.choose(free or long or members, choice)
+        if not short:
+            return policy.choose(members, choice)
+        best = policy.choose(short, choice)
+        if long and best.estimate_in_flight(choice.now) >= best.slots:
+            other = policy.choose(long, choice)
+            if SPILL_FACTOR * score(other, choice) < score(best, choice):
+                return other
+        return best
+
+    def _find_trial(
+        self, group: str, members: list[ServerView], choice: Choice
+    ) -> ServerView | None:
+        if choice.now < self._next_scan.get(group, 0.0):
+            return None
+        self._next_scan[group] = choice.now + 0.1
+        for view in members:
+            if self._is_avoidable(view, choice):
+                if view.server_id not in self._avoided:
+                    self._avoided.add(view.server_id)
+                    view.trial_at = choice.now
+                    view.trial_failures = 0
+                    log_event(300, server=view.server_id, group=group)
+                elif view.in_flight == 0 and choice.now >= view.trial_at + min(
+                    TRIAL_LIMIT_S, TRIAL_PERIOD_S * 2**view.trial_failures
+                ):
+                    view.trial_at = choice.now
+                    return view
+            elif view.server_id in self._avoided:
+                self._avoided.discard(view.server_id)
+                log_event(301, server=view.server_id, group=group)
+        return None
+
+    def _is_avoidable(self, view: ServerView, choice: Choice) -> bool:
+        latency_s = view.estimate_latency(
+            choice.request_class, choice.now, choice.mean_s, choice.tail_s
+        )
+        errors = view.error_rate(choice.now)
+        cost_s = (1 - errors) * latency_s + errors * choice.deadline_s
+        return cost_s > TRIAL_FACTOR * choice.mean_s
+
+    def _finish_trial(self, view: ServerView, failed: bool) -> None:
+        if failed:
+            view.trial_failures = min(8, view.trial_failures + 1)
+            return
+        view.forgive()
+        view.trial_failures = -3
--- /dev/null
+++ b/src/geraniumbend/routing/_table.py
@@ -0,0 +1,191 @@
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from geraniumbend.routing._costs import RequestCosts
+from geraniumbend.routing._selectors import Selector, parse_selector
+from geraniumbend.routing._views import ServerView
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from geraniumbend.model import BackendServer, Configuration
+    from geraniumbend.timers import TimerService
+
+# Servers that appear this soon after the first update, in seconds, ran before this
+# gateway did; they are known by gossip only a little later than the others.
+WARM_S = 5.0
+# Mean utilization of a group is computed anew after this time in seconds.
+UTILIZATION_PERIOD_S = 0.05
+# Reports older than this, in seconds, do not count in the utilization of a group.
+REPORT_LIFE_S = 2.0
+
+
+class ServerTable:
+    """Members of all groups, with this gateway's view of each backend server.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Clock.
+    """
+
+    def __init__(self, timers: TimerService) -> None:
+        self.costs = RequestCosts(timers)
+        self.version = 0
+        self._timers = timers
+        self._first_update = math.inf
+        self._views: dict[str, ServerView] = {}
+        self._selectors: dict[str, tuple[str, Selector]] = {}
+        self._members: dict[str, dict[str, ServerView]] = {}
+        self._available: dict[str, list[ServerView]] = {}
+        self._utilization: dict[str, tuple[float, float, float]] = {}
+        self.configuration: Configuration | None = None
+
+    def update(
+        self, servers: Mapping[str, BackendServer], configuration: Configuration
+    ) -> None:
+        """Install the announced servers and the active configuration.
+
+        Only servers whose labels changed and groups whose selector changed are
+        matched again.
+
+        Parameters
+        ----------
+        servers : mapping of str to BackendServer
+            Servers by id, with the labels that they announced.
+        configuration : Configuration
+            Groups and label overrides. An override with an empty value removes the
+            label.
+        """
+        now = self._timers.now()
+        self._first_update = min(self._first_update, now)
+        self.configuration = configuration
+        changed_groups = self._update_selectors(configuration)
+        for server_id in self._views.keys() - servers.keys():
+            view = self._views.pop(server_id)
+            for group in view.groups:
+                self._members.get(group, {}).pop(server_id, None)
+        for server_id, announced in servers.items():
+            override = configuration.label_overrides.get(server_id)
+            server = _apply_override(announced, override)
+            view, relabelled = self._update_view(server, now)
+            groups = self._selectors if relabelled else changed_groups
+            self._match(view, groups)
+        self._available = {
+            group: [view for view in members.values() if not view.draining]
+            for group, members in self._members.items()
+        }
+        self._utilization.clear()
+        self.version += 1
+
+    def views(self, group: str) -> list[ServerView]:
+        """Return all members of a group, draining ones included."""
+        return list(self._members.get(group, {}).values())
+
+    def available(self, group: str) -> list[ServerView]:
+        """Return the members of a group that take new work; not to be changed."""
+        return self._available.get(group, [])
+
+    def view(self, server_id: str) -> ServerView | None:
+        """Return the view of a server, or None when it is not announced."""
+        return self._views.get(server_id)
+
+    def all_views(self) -> list[ServerView]:
+        """Return the views of all announced servers."""
+        return list(self._views.values())
+
+    def groups(self) -> list[str]:
+        """Return the names of all groups."""
+        return list(self._selectors)
+
+    def slots(self, group: str) -> int:
+        """Return the slots of all members that take new work."""
+        return sum(view.slots for view in self.available(group))
+
+    def utilization(self, group: str) -> float:
+        """Return reported requests per slot over the members with fresh reports."""
+        return self._measure(group)[1]
+
+    def typical_utilization(self, group: str) -> float:
+        """Return the median reported utilization, at most 1.
+
+        The bound keeps one false report from making the servers without a report
+        look full.
+        """
+        return self._measure(group)[2]
+
+    def _measure(self, group: str) -> tuple[float, float, float]:
+        now = self._timers.now()
+        known = self._utilization.get(group)
+        if known is not None and now - known[0] < UTILIZATION_PERIOD_S:
+            return known
+        loads = []
+        for view in self.available(group):
+            reported = view.reported_in_flight()
+            if reported is not None and now - view.report_at < REPORT_LIFE_S:
+                loads.append((reported / view.slots, reported, view.slots))
+        mean = typical = 0.0
+        if loads:
+            loads.sort()
+            mean = sum(load[1] for load in loads) / sum(load[2] for load in loads)
+            typical = min(1.0, loads[len(loads) // 2][0])
+        self._utilization[group] = (now, mean, typical)
+        return self._utilization[group]
+
+    def _update_selectors(self, configuration: Configuration) -> dict[str, object]:
+        changed: dict[str, object] = {}
+        for name in self._selectors.keys() - configuration.groups.keys():
+            del self._selectors[name]
+            for view in self._members.pop(name, {}).values():
+                view.groups = tuple(group for group in view.groups if group != name)
+        for name, group in configuration.groups.items():
+            known = self._selectors.get(name)
+            if known is None or known[0] != group.selector:
+                self._selectors[name] = (group.selector, parse_selector(group.selector))
+                self._members.setdefault(name, {})
+                changed[name] = None
+        return changed
+
+    def _update_view(
+        self, server: BackendServer, now: float
+    ) -> tuple[ServerView, bool]:
+        view = self._views.get(server.server_id)
+        if view is None or view.server.incarnation != server.incarnation:
+            warm = view is None and now - self._first_update <= WARM_S
+            fresh = ServerView(server, now, warm)
+            if view is not None:
+                fresh.generation = view.generation + 1
+                fresh.groups = view.groups
+            self._views[server.server_id] = fresh
+            return fresh, True
+        relabelled = view.server.labels != server.labels
+        view.server = server
+        return view, relabelled
+
+    def _match(self, view: ServerView, groups: Mapping[str, object]) -> None:
+        if not groups:
+            return
+        labels = view.server.labels
+        current = dict.fromkeys(view.groups)
+        for name in groups:
+            if self._selectors[name][1].matches(labels):
+                current[name] = None
+                self._members[name][view.server_id] = view
+            else:
+                current.pop(name, None)
+                self._members[name].pop(view.server_id, None)
+        view.groups = tuple(current)
+
+
+def _apply_override(
+    server: BackendServer, override: Mapping[str, str] | None
+) -> BackendServer:
+    if not override:
+        return server
+    labels = {**server.labels, **override}
+    for name, value in override.items():
+        if not value:
+            del labels[name]
+    return server._replace(labels=labels)
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,176 @@
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from geraniumbend.errors import RefusedError
+from geraniumbend.routing import Outcome, Router, ServerTable
+from tests.fakes import FakeShares, StepTimers, build_configuration, build_servers
+
+GOOD = Outcome(status=200, latency_s=0.1)
+
+
+class RouterCase(unittest.TestCase):
+    def build(self, count=5, policy="default", domain="", gateways=1, **fields):
+        self.timers = StepTimers()
+        self.table = ServerTable(self.timers)
+        self.servers = build_servers(count, **fields)
+        self.configuration = build_configuration(policy=policy)
+        self.table.update(self.servers, self.configuration)
+        shares = FakeShares(gateways)
+        self.router = Router(
+            self.table, shares, self.timers, "n", failure_domain=domain, seed=3
+        )
+
+    def choose(self, request_class="c", excluded=(), **options):
+        return self.router.choose("g", request_class, excluded, 10.0, **options)
+
+    def run_requests(self, count, answer, request_class="c", gap_s=0.01):
+        """Run requests one after the other and count them by server."""
+        used = Counter()
+        for _ in range(count):
+            view = self.choose(request_class)
+            used[view.server_id] += 1
+            self.router.start_request(view, request_class)
+            self.timers.step(gap_s)
+            self.router.finish_request(view, request_class, answer(view.server_id))
+        return used
+
+
+class RouterTest(RouterCase):
+    def test_fast_failing_server_attracts_no_traffic(self):
+        self.build()
+        failure = Outcome(status=500, latency_s=0.001)
+        used = self.run_requests(1000, lambda name: failure if name == "s2" else GOOD)
+        self.assertLessEqual(used["s2"], 8)
+
+    def test_trial_requests_bring_a_recovered_server_back(self):
+        self.build()
+        self.run_requests(100, lambda _: GOOD)
+        failed = self.table.view("s2")
+        for _ in range(40):
+            self.router.start_request(failed, "c")
+            self.router.finish_request(failed, "c", Outcome(failed=True))
+        used = self.run_requests(1500, lambda _: GOOD)
+        self.assertGreater(used["s2"], 100)
+
+    def test_group_of_failing_servers_is_never_empty(self):
+        self.build(count=3)
+        failure = Outcome(failed=True)
+        used = self.run_requests(200, lambda _: failure)
+        self.assertEqual(set(used), {"s0", "s1", "s2"})
+
+    def test_silent_slowdown_is_seen_before_any_slow_response_ends(self):
+        self.build()
+        self.run_requests(300, lambda _: GOOD)
+        self.router.start_request(self.table.view("s1"), "c")
+        self.timers.step(0.8)
+        for name in ("s0", "s2", "s3", "s4"):
+            self.router.start_request(self.table.view(name), "c")
+        used = self.run_requests(40, lambda _: GOOD, gap_s=0.001)
+        self.assertEqual(used["s1"], 0)
+
+    def test_false_report_of_no_load_does_not_hide_own_requests(self):
+        self.build(count=2)
+        for _ in range(6):
+            self.router.start_request(self.table.view("s0"), "c")
+        self.router.observe_report(
+            self.table.view("s0"), "TEXT named_metrics.in_flight=0"
+        )
+        self.assertEqual(self.choose().server_id, "s1")
+
+    def test_old_report_of_high_load_loses_its_effect(self):
+        self.build(count=2)
+        self.router.observe_report(
+            self.table.view("s0"), "TEXT named_metrics.in_flight=900"
+        )
+        self.assertEqual({self.choose().server_id for _ in range(20)}, {"s1"})
+        self.timers.step(10)
+        used = self.run_requests(100, lambda _: GOOD)
+        self.assertGreater(used["s0"], 20)
+
+    def test_draining_servers_get_nothing_even_as_last_members(self):
+        self.build(count=2, draining=True)
+        with self.assertRaises(RefusedError) as caught:
+            self.choose()
+        self.assertEqual(caught.exception.run, "not_run")
+
+    def test_tried_servers_are_not_chosen_again(self):
+        self.build(count=2)
+        self.assertEqual(self.choose(excluded={"s0"}).server_id, "s1")
+        with self.assertRaises(RefusedError):
+            self.choose(excluded={"s0", "s1"})
+
+    def test_starting_server_is_not_flooded(self):
+        self.build()
+        self.timers.step(60)
+        self.servers["new"] = self.servers["s0"]._replace(server_id="new")
+        self.table.update(self.servers, self.configuration)
+        used = self.run_requests(100, lambda _: GOOD)
+        self.assertLess(used["new"], 10)
+        self.timers.step(10)
+        used = self.run_requests(600, lambda _: GOOD)
+        self.assertGreater(used["new"], 50)
+
+    def test_own_failure_domain_is_preferred_only_while_it_helps(self):
+        self.build(count=6, domain="a")
+        for name in ("s0", "s1"):
+            self.servers[name] = self.servers[name]._replace(failure_domain="a")
+        self.table.update(self.servers, self.configuration)
+        used = self.run_requests(300, lambda _: GOOD)
+        self.assertGreater(used["s0"] + used["s1"], 200)
+        for name in ("s0", "s1"):
+            for _ in range(3):
+                self.router.start_request(self.table.view(name), "c")
+        used = self.run_requests(100, lambda _: GOOD)
+        self.assertEqual(used["s0"] + used["s1"], 0)
+
+    def test_large_group_is_cut_to_a_deterministic_subset(self):
+        self.build(count=400, policy="random", gateways=100)
+        first = {self.choose().server_id for _ in range(3000)}
+        self.assertEqual(len(first), 100)
+        self.assertEqual({self.choose().server_id for _ in range(3000)}, first)
+
+    def test_subsets_of_few_gateways_cover_a_large_group(self):
+        self.build(count=400)
+        covered = set()
+        for index in range(13):
+            shares = FakeShares(13)
+            router = Router(self.table, shares, self.timers, f"n{index}")
+            covered.update(view.server_id for view in router._members("g"))
+        self.assertEqual(len(covered), 400)
+
+
+class LaneTest(RouterCase):
+    def learn(self, gap_s=0.01):
+        for _ in range(100):
+            self.run_requests(1, lambda _: GOOD, gap_s=gap_s)
+            if _ % 10 == 0:
+                long = Outcome(status=200, latency_s=2.0)
+                self.run_requests(1, lambda _, long=long: long, "long", gap_s)
+
+    def test_long_requests_keep_to_a_lane_that_short_ones_avoid(self):
+        self.build(count=6)
+        self.learn()
+        lane = {view.server_id for view in self.router.lanes.lanes("g").long}
+        self.assertEqual(len(lane), 3)
+        short = self.run_requests(200, lambda _: GOOD)
+        self.assertFalse(lane & set(short))
+        long = {self.choose("long").server_id for _ in range(50)}
+        self.assertLessEqual(long, lane)
+
+    def test_gateways_agree_on_the_lane_without_messages(self):
+        self.build(count=9)
+        self.learn()
+        first = {view.server_id for view in self.router.lanes.lanes("g").long}
+        self.build(count=9)
+        self.learn(gap_s=0.02)
+        second = {view.server_id for view in self.router.lanes.lanes("g").long}
+        self.assertEqual(first, second)
+
+    def test_lane_is_released_when_long_requests_cease(self):
+        self.build(count=6)
+        self.learn()
+        for _ in range(60):
+            self.run_requests(20, lambda _: GOOD, gap_s=0.1)
+        self.assertLessEqual(len(self.router.lanes.lanes("g").long), 1)
