Add settings commands, reference pages made from the code and example settings

Cause: operators need to see the effective settings and a catalogue that agrees with the code. Change: commands check, config show and config reference; reference pages of settings, log events and errors with a test that they agree; example settings of both users.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(VENV)/bin/ruff format $(PATHS)
 
 test: lint types
-	$(RUN) -m nose2 -v
+	$(RUN) -m nose2 -v -s tests -t .
 
 bench: $(VENV)/.installed
 	$(RUN) -m bench report
@@ -37,3 +37,6 @@
 
 test-binary: binary
 	GERANIUMBEND_PROGRAM=dist/geraniumbend $(RUN) -m nose2 -v tests.tools.test_binary_program
+
+docs: $(VENV)/.installed
+	$(RUN) tools/reference.py
--- a/src/geraniumbend/cli/_application.py
+++ b/src/geraniumbend/cli/_application.py
@@ -13,7 +13,7 @@
 # Full name such as "member add" to the function that runs it.
 commands: Registry[Callable[..., Any]] = Registry("command")
 
-COMMAND_MODULES = ("_processes", "_configuration")
+COMMAND_MODULES = ("_processes", "_configuration", "_settings")
 
 
 def build_application() -> App:
