Pool connections to backend servers and leave silent ones

Cause: aiohttp's client session re-sends idempotent requests when a reused connection drops, takes bytes that arrive on an idle connection for the next answer, and takes a reset for the end of a body without length.

Change: ServerPool sends each request exactly once over aiohttp's connector and protocol, without ClientSession. Generations of connections are retired when a reused connection makes no progress while a new one opens; safe requests move, others wait and end as unknown. The connection limit follows the gateway's share.

--- /dev/null
+++ b/src/geraniumbend/adapters/_backend_protocol.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import select
+from typing import TYPE_CHECKING, Any
+
+from aiohttp.client_exceptions import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+
+if TYPE_CHECKING:
+    import asyncio
+
+READ_BUFFER_BYTES = 128 * 1024
+MAX_ANSWER_HEAD_FIELD_BYTES = 32 * 1024
+MAX_ANSWER_FIELDS = 256
+
+
+class BackendProtocol(ResponseHandler):
+    """Client side of one connection to a backend server.
+
+    Extends aiohttp's protocol by three checks that it lacks: bytes that arrive while
+    no request is open close the connection instead of being taken for the next
+    answer, a body that ends with the connection is truncated when the connection was
+    reset, and waiting for an answer's head can end without giving up the request.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        Running loop.
+
+    Attributes
+    ----------
+    busy : bool
+        A request is open.
+    received : int
+        Bytes received since the request was opened.
+    uses : int
+        Requests opened on this connection.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.busy = False
+        self.received = 0
+        self.uses = 0
+        self._watcher: asyncio.Future[None] | None = None
+        self._interruptible = False
+
+    def open_request(self, method: str) -> None:
+        """Prepare the parser for the answer to a request."""
+        self.busy = True
+        self.received = 0
+        self.uses += 1
+        self.set_response_params(
+            skip_payload=method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=MAX_ANSWER_HEAD_FIELD_BYTES,
+            max_field_size=MAX_ANSWER_HEAD_FIELD_BYTES,
+            max_headers=MAX_ANSWER_FIELDS,
+        )
+
+    def is_usable(self) -> bool:
+        """Tell whether an idle connection can carry another request.
+
+        Bytes or an end of stream that wait in the socket make it unusable: they
+        belong to no request.
+        """
+        if self.should_close or not self.is_connected():
+            return False
+        assert self.transport is not None
+        socket = self.transport.get_extra_info("socket")
+        poll = select.poll()
+        poll.register(socket.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
+        return not poll.poll(0)
+
+    async def wait_message(self, delay_s: float, interruptible: bool = False) -> bool:
+        """Wait until a message or an error is there.
+
+        Parameters
+        ----------
+        delay_s : float
+            Longest wait in seconds.
+        interruptible : bool, default=False
+            Whether `interrupt_wait` ends the wait.
+
+        Returns
+        -------
+        bool
+            False if neither came in time; the request stays open.
+        """
+        if self._buffer or self._exception is not None or self._eof:
+            return True
+        if delay_s <= 0:
+            return False
+        watcher: asyncio.Future[None] = self._loop.create_future()
+        self._watcher = watcher
+        self._interruptible = interruptible
+        timer = self._loop.call_later(delay_s, _resolve, watcher)
+        try:
+            await watcher
+        finally:
+            timer.cancel()
+            self._watcher = None
+        return bool(self._buffer or self._exception is not None or self._eof)
+
+    def interrupt_wait(self) -> None:
+        """Let an interruptible `wait_message` return now."""
+        if self._interruptible:
+            _resolve(self._watcher)
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; bytes without an open request close the connection."""
+        if data:
+            if not self.busy:
+                self.force_close()
+                if self.transport is not None:
+                    self.transport.abort()
+                return
+            self.received += len(data)
+        super().data_received(data)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Queue a message and wake whoever waits for it."""
+        super().feed_data(data, size)
+        _resolve(self._watcher)
+
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Record why no more messages come and wake whoever waits for one."""
+        super().set_exception(exc, *cause)
+        _resolve(self._watcher)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Mark a body as truncated when the connection was reset."""
+        if exc is not None and self._payload is not None:
+            payload = self._payload
+            if not payload.is_eof() and payload.exception() is None:
+                payload.set_exception(ClientPayloadError(f"connection lost: {exc}"))
+        super().connection_lost(exc)
+
+
+def _resolve(future: asyncio.Future[None] | None) -> None:
+    if future is not None and not future.done():
+        future.set_result(None)
--- /dev/null
+++ b/src/geraniumbend/adapters/_exchange.py
@@ -0,0 +1,179 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp.http import StreamWriter
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import EMPTY_PAYLOAD, EofStream
+
+from geraniumbend.adapters._generation import get_protocol
+from geraniumbend.errors import GeraniumbendError
+from geraniumbend.proxying import UpstreamError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+    from aiohttp.connector import Connection
+
+    from geraniumbend.adapters._generation import Generation
+    from geraniumbend.proxying import UpstreamRequest
+
+MAX_INTERIM_ANSWERS = 16
+
+
+class Exchange:
+    """One request and its answer on one connection to a backend server.
+
+    Parameters
+    ----------
+    generation : Generation
+        Generation that the connection belongs to.
+    connection : aiohttp.connector.Connection
+        Connection that carries nothing else meanwhile.
+    reused : bool
+        The connection has carried a request before.
+    on_close : callable
+        Called once with the exchange and whether the connection can be used again.
+    """
+
+    def __init__(
+        self,
+        generation: Generation,
+        connection: Connection,
+        reused: bool,
+        on_close: Callable[[Exchange, bool], None],
+    ) -> None:
+        self.generation = generation
+        self.connection = connection
+        self.reused = reused
+        self.protocol = get_protocol(connection)
+        self.status = 0
+        self.reason = ""
+        self.headers: Mapping[str, str] = {}
+        self.raw_headers: Sequence[tuple[bytes, bytes]] = ()
+        self.request_sent = False
+        self._on_close: Callable[[Exchange, bool], None] | None = on_close
+        self._payload = EMPTY_PAYLOAD
+        self._upload: asyncio.Task[None] | None = None
+        self._upload_error: GeraniumbendError | None = None
+
+    @property
+    def has_body(self) -> bool:
+        """Tell whether the answer can have a body."""
+        return self._payload is not EMPTY_PAYLOAD
+
+    def transmit(self, request: UpstreamRequest) -> None:
+        """Send the request; a body that still arrives is sent by a task.
+
+        Parameters
+        ----------
+        request : UpstreamRequest
+            Request; sent exactly once.
+
+        Raises
+        ------
+        UpstreamError
+            If the connection closed before any byte was written.
+        """
+        transport = self.connection.transport
+        if transport is None or transport.is_closing():
+            raise UpstreamError("connection closed before use", "not_run")
+        self.protocol.open_request(request.method)
+        if request.source is None:
+            transport.write(request.head + request.body)
+            self.request_sent = True
+            return
+        transport.write(request.head)
+        self._upload = asyncio.ensure_future(self._send_body(request))
+
+    async def read_head(self, deadline_delay_s: float) -> None:
+        """Take the final answer's head from the queue; skips interim answers.
+
+        Parameters
+        ----------
+        deadline_delay_s : float
+            Longest wait for further messages after an interim answer, in seconds.
+
+        Raises
+        ------
+        UpstreamError
+            If the connection ended or the answer is malformed.
+        GeraniumbendError
+            The error of the body's source.
+        """
+        for _ in range(MAX_INTERIM_ANSWERS):
+            if not await self.protocol.wait_message(deadline_delay_s):
+                raise UpstreamError("no answer in time", "unknown", timed_out=True)
+            if self._upload_error is not None:
+                raise self._upload_error
+            try:
+                message, payload = await self.protocol.read()
+            except HttpProcessingError as error:
+                raise UpstreamError(
+                    f"answer is malformed: {error.message}", "unknown"
+                ) from error
+            except (aiohttp.ClientError, OSError, EofStream) as error:
+                raise ConnectionError(str(error)) from error
+            if message.code == 101:
+                raise UpstreamError("answer switches protocols", "unknown")
+            if message.code >= 200:
+                self.status = message.code
+                self.reason = message.reason or ""
+                self.headers = message.headers
+                self.raw_headers = message.raw_headers
+                self._payload = payload
+                return
+        raise UpstreamError("too many interim answers", "unknown")
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the body, empty at its complete end.
+
+        Returns
+        -------
+        bytes
+            Bytes as the backend server coded the content.
+
+        Raises
+        ------
+        UpstreamError
+            If the body ended early or is malformed.
+        """
+        try:
+            return await self._payload.readany()
+        except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
+            raise UpstreamError(f"answer is truncated: {error}", "unknown") from error
+
+    def close(self) -> None:
+        """Give the connection back, or close it unless everything was read."""
+        on_close, self._on_close = self._on_close, None
+        if on_close is None:
+            return
+        if self._upload is not None and not self._upload.done():
+            self._upload.cancel()
+        complete = self.status >= 200 and self.request_sent and self._payload.is_eof()
+        reusable = complete and not self.protocol.should_close
+        if not reusable and (transport := self.connection.transport) is not None:
+            transport.abort()
+        on_close(self, reusable)
+
+    async def _send_body(self, request: UpstreamRequest) -> None:
+        source = request.source
+        assert source is not None
+        writer = StreamWriter(self.protocol, asyncio.get_running_loop())
+        if request.chunked:
+            writer.enable_chunking()
+            writer.send_headers()
+        try:
+            while data := await source.read_body():
+                await writer.write(data)
+            await writer.write_eof()
+            self.request_sent = True
+        except GeraniumbendError as error:
+            self._upload_error = error
+            self.protocol.set_exception(error)
+        except (OSError, aiohttp.ClientError):
+            # The backend server closed the connection; the head of an early answer
+            # or the connection's error is already queued.
+            pass
--- /dev/null
+++ b/src/geraniumbend/adapters/_generation.py
@@ -0,0 +1,177 @@
+from __future__ import annotations
+
+import asyncio
+import functools
+import socket
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import aiohttp
+from aiohttp.client_reqrep import ClientRequest
+from yarl import URL
+
+from geraniumbend.adapters._backend_protocol import BackendProtocol
+
+if TYPE_CHECKING:
+    import ssl
+
+    from aiohttp.connector import Connection
+
+    from geraniumbend.timers import TimerService
+
+TCP_USER_TIMEOUT_MS = 5_000
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3
+
+
+class IdleConnection(NamedTuple):
+    """A connection without a request.
+
+    Parameters
+    ----------
+    connection : aiohttp.connector.Connection
+        The connection.
+    since_s : float
+        When its last answer was complete, by the timer service's clock.
+    """
+
+    connection: Connection
+    since_s: float
+
+
+class Generation:
+    """Connections to one backend server that are trusted or dropped together.
+
+    aiohttp's connector opens the connections; idle ones are kept here, because the
+    connector can neither close idle connections alone nor tell whether a connection
+    was used before.
+
+    Parameters
+    ----------
+    host : str
+        IP address of the backend server.
+    port : int
+        TCP port.
+    number : int
+        Count of the generations of the pool.
+    timers : TimerService
+        Clock.
+    tls : ssl.SSLContext or None
+        TLS to the backend server.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        number: int,
+        timers: TimerService,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.number = number
+        self.retired = False
+        self.idle: list[IdleConnection] = []
+        self._timers = timers
+        self._connector = aiohttp.TCPConnector(
+            limit=0, socket_factory=_create_socket, happy_eyeballs_delay=None
+        )
+        # The connector has no public way to choose the protocol.
+        factory: Any = functools.partial(BackendProtocol, loop)
+        self._connector._factory = factory
+        literal = f"[{host}]" if ":" in host else host
+        scheme = "http" if tls is None else "https"
+        self._request = ClientRequest(
+            "GET",
+            URL(f"{scheme}://{literal}:{port}/"),
+            loop=loop,
+            ssl=True if tls is None else tls,
+        )
+
+    async def open(self, timeout_s: float) -> Connection:
+        """Open a connection.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        aiohttp.connector.Connection
+            Connection whose protocol is a `BackendProtocol`.
+
+        Raises
+        ------
+        aiohttp.ClientError, TimeoutError
+            If no connection was made.
+        """
+        timeout = aiohttp.ClientTimeout(connect=timeout_s, ceil_threshold=60)
+        return await self._connector.connect(self._request, [], timeout)
+
+    def take_idle(self, max_idle_s: float) -> Connection | None:
+        """Return the idle connection that was used last, or None.
+
+        Parameters
+        ----------
+        max_idle_s : float
+            Connections that were idle for longer stay where they are, in seconds.
+        """
+        oldest_s = self._timers.now() - max_idle_s
+        while self.idle and self.idle[-1].since_s >= oldest_s:
+            connection = self.idle.pop().connection
+            if get_protocol(connection).is_usable():
+                return connection
+            connection.close()
+        return None
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep a connection whose last answer was read completely."""
+        get_protocol(connection).busy = False
+        self.idle.append(IdleConnection(connection, self._timers.now()))
+
+    def close_idle(self, older_than_s: float = -1.0) -> int:
+        """Close connections that were idle for longer than a time in seconds."""
+        limit_s = self._timers.now() - older_than_s
+        closed = 0
+        kept = []
+        for entry in self.idle:
+            if entry.since_s < limit_s or entry.connection.closed:
+                entry.connection.close()
+                closed += 1
+            else:
+                kept.append(entry)
+        self.idle = kept
+        return closed
+
+    def retire(self) -> None:
+        """Use the connections for no further request and close idle ones."""
+        self.retired = True
+        self.close_idle()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self.retire()
+        await self._connector.close()
+
+
+def get_protocol(connection: Connection) -> BackendProtocol:
+    """Return the protocol of an open connection."""
+    protocol = connection.protocol
+    assert isinstance(protocol, BackendProtocol)
+    return protocol
+
+
+def _create_socket(address: Any) -> socket.socket:
+    family, kind, number = address[:3]
+    created = socket.socket(family, kind, number)
+    created.setblocking(False)
+    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    # The kernel ends a connection whose sent bytes or keepalive probes are not
+    # acknowledged; silence behind an acknowledging middle box is found by the pool.
+    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    return created
--- /dev/null
+++ b/src/geraniumbend/adapters/_http_upstream.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from geraniumbend.adapters._server_pool import ServerPool
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable, Iterable
+
+    from geraniumbend.adapters._exchange import Exchange
+    from geraniumbend.model import BackendServer
+    from geraniumbend.proxying import UpstreamRequest
+    from geraniumbend.timers import TimerService
+
+SWEEP_PERIOD_S = 1.0
+
+
+class HttpUpstream:
+    """Sends requests to backend servers over pooled connections.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Clock.
+    share : callable
+        Returns this gateway's part of a backend server's connections, 0 to 1.
+    tls : ssl.SSLContext or None, default=None
+        TLS to backend servers.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        share: Callable[[], float],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._timers = timers
+        self._share = share
+        self._tls = tls
+        self._pools: dict[str, ServerPool] = {}
+        self._sweeping = timers.every(SWEEP_PERIOD_S, self._sweep)
+
+    async def send(self, server: BackendServer, request: UpstreamRequest) -> Exchange:
+        """Send a request and wait for the head of its answer; see `ServerPool.send`."""
+        pool = self._pools.get(server.server_id)
+        if pool is None or pool.server is not server:
+            pool = self._update_pool(pool, server)
+        return await pool.send(request)
+
+    def retain(self, servers: Iterable[BackendServer]) -> None:
+        """Drop the pools of backend servers that are not listed."""
+        known = {server.server_id for server in servers}
+        for server_id in [name for name in self._pools if name not in known]:
+            self._pools.pop(server_id).retire()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all pools by server id."""
+        return {name: pool.dump() for name, pool in self._pools.items()}
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self._sweeping.cancel()
+        for pool in self._pools.values():
+            await pool.close()
+        self._pools.clear()
+
+    def _update_pool(
+        self, pool: ServerPool | None, server: BackendServer
+    ) -> ServerPool:
+        if pool is not None and _same_process(pool.server, server):
+            pool.server = server
+            return pool
+        if pool is not None:
+            # Connections of the earlier process at this id are closed after use.
+            pool.retire()
+        pool = ServerPool(server, self._timers, self._share, self._tls)
+        self._pools[server.server_id] = pool
+        return pool
+
+    def _sweep(self) -> None:
+        for pool in self._pools.values():
+            pool.sweep()
+
+
+def _same_process(first: BackendServer, second: BackendServer) -> bool:
+    return (first.host, first.port, first.incarnation) == (
+        second.host,
+        second.port,
+        second.incarnation,
+    )
--- /dev/null
+++ b/src/geraniumbend/proxying/_refusals.py
@@ -0,0 +1,57 @@
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from geraniumbend.errors import RefusedError
+
+TYPE_PREFIX = "https://geraniumbend.invalid/problems/"
+
+
+def describe_refusal(error: RefusedError, request_id: str) -> bytes:
+    """Return the problem document of a refusal (RFC 9457).
+
+    Parameters
+    ----------
+    error : RefusedError
+        Cause, status and run state.
+    request_id : str
+        Id of the request, empty when its head could not be read.
+
+    Returns
+    -------
+    bytes
+        JSON document of type ``application/problem+json``.
+    """
+    return json.dumps(
+        {
+            "type": TYPE_PREFIX + error.kind,
+            "title": describe_status(error.status),
+            "status": error.status,
+            "detail": str(error),
+            "run": error.run,
+            "request_id": request_id,
+        }
+    ).encode()
+
+
+def list_refusal_lines(error: RefusedError, request_id: str) -> list[bytes]:
+    """Return the header lines of a refusal, without framing fields."""
+    lines = [b"Content-Type: application/problem+json\r\n"]
+    if request_id:
+        lines.append(b"X-Request-Id: %b\r\n" % request_id.encode())
+    if error.retry_after_s is not None:
+        # RFC 9110, 10.2.3 allows whole seconds only; round up, at least one.
+        seconds = max(1, -int(-error.retry_after_s // 1))
+        lines.append(b"Retry-After: %d\r\n" % seconds)
+    return lines
+
+
+def describe_status(status: int) -> str:
+    """Return the reason phrase of a status code, empty when it has none."""
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return ""
--- /dev/null
+++ b/tests/adapters/_backend.py
@@ -0,0 +1,133 @@
+"""Scripted backend servers and upstream requests for the tests of the data path."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from geraniumbend.model import BackendServer
+from geraniumbend.proxying import UpstreamRequest
+from geraniumbend.timers import LoopTimers
+
+
+class Received(NamedTuple):
+    connection: int
+    head: bytes
+    body: bytes
+
+
+class ScriptedBackend:
+    """Plain asyncio server; `script(received, reader, writer)` answers a request.
+
+    A script that returns False ends the connection without another read.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.received = []
+        self.connections = 0
+        self.open = 0
+        self.most_open = 0
+        self.closed = asyncio.Event()
+        self._server = None
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *unused):
+        self._server.close()
+
+    def stop_listening(self):
+        self._server.close()
+
+    def describe(self, connection_limit=50):
+        return BackendServer(
+            "b", "127.0.0.1", self.port, connection_limit=connection_limit
+        )
+
+    async def _accept(self, reader, writer):
+        self.connections += 1
+        number = self.connections
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = await _read_body(head, reader)
+                received = Received(number, head, body)
+                self.received.append(received)
+                if await self.script(received, reader, writer) is False:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.open -= 1
+            self.closed.set()
+            writer.close()
+
+
+async def _read_body(head, reader):
+    lower = head.lower()
+    if b"transfer-encoding: chunked" in lower:
+        body = b""
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readline()
+        await reader.readline()
+        return body
+    for line in lower.split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return await reader.readexactly(int(line[15:]))
+    return b""
+
+
+def reply(text=b"ok"):
+    """Return a script that answers every request with the same body."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text)
+
+    async def script(received, reader, writer):
+        writer.write(answer)
+
+    return script
+
+
+def send_raw(answer):
+    """Return a script that writes bytes as they are and keeps the connection."""
+
+    async def script(received, reader, writer):
+        writer.write(answer)
+
+    return script
+
+
+def make_request(
+    method="GET", path="/", body=b"", safe=None, deadline_s=2.0, silence_s=0.1, **more
+):
+    """Return a request with everything but the parameters that matter to a test."""
+    head = f"{method} {path} HTTP/1.1\r\nHost: b\r\n"
+    if body:
+        head += f"Content-Length: {len(body)}\r\n"
+    fields = {
+        "method": method,
+        "head": head.encode() + b"\r\n",
+        "body": body,
+        "source": None,
+        "chunked": False,
+        "safe": method in ("GET", "HEAD") if safe is None else safe,
+        "deadline_s": LoopTimers().now() + deadline_s,
+        "silence_s": silence_s,
+    }
+    return UpstreamRequest(**{**fields, **more})
+
+
+async def read_all(answer):
+    """Return the whole body and close the answer."""
+    parts = []
+    try:
+        while data := await answer.read():
+            parts.append(data)
+    finally:
+        answer.close()
+    return b"".join(parts)
--- /dev/null
+++ b/tests/adapters/test_silence.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from geraniumbend.adapters.http_upstream import ServerPool
+from geraniumbend.proxying import UpstreamError
+from geraniumbend.timers import LoopTimers
+from tests.adapters._backend import ScriptedBackend, make_request, read_all
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class SilenceTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that stay open and carry nothing while new ones work."""
+
+    async def asyncSetUp(self):
+        self.silent = set()
+        self.delay_s = 0.0
+        self.held = []
+
+        async def script(received, reader, writer):
+            if received.connection in self.silent:
+                await reader.read()
+                return False
+            self.held.append(self.pool.count())
+            await asyncio.sleep(self.delay_s)
+            writer.write(OK)
+
+        self.backend = ScriptedBackend(script)
+        await self.backend.__aenter__()
+        self.pool = ServerPool(self.backend.describe(20), LoopTimers(), lambda: 1.0)
+
+    async def asyncTearDown(self):
+        await self.pool.close()
+        await self.backend.__aexit__()
+
+    async def open_connections(self, count):
+        self.delay_s = 0.02
+        requests = (self.pool.send(make_request()) for _ in range(count))
+        for answer in await asyncio.gather(*requests):
+            await read_all(answer)
+        self.delay_s = 0.0
+        self.assertEqual(self.backend.connections, count)
+
+    async def test_safe_request_moves_within_its_deadline(self):
+        await self.open_connections(1)
+        self.silent = {1}
+        started = time.monotonic()
+        answer = await self.pool.send(make_request(silence_s=0.05, deadline_s=1.0))
+        self.assertEqual(await read_all(answer), b"ok")
+        self.assertLess(time.monotonic() - started, 0.5)
+
+    async def test_generation_is_retired_and_its_idle_connections_are_closed(self):
+        await self.open_connections(4)
+        self.silent = {1, 2, 3, 4}
+        await read_all(await self.pool.send(make_request(silence_s=0.05)))
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.pool.current.number, 2)
+        self.assertEqual(self.pool.count(), 1)
+        sent = len(self.backend.received)
+        await read_all(await self.pool.send(make_request(silence_s=5)))
+        self.assertEqual(len(self.backend.received), sent + 1)
+
+    async def test_siblings_move_before_their_own_bound(self):
+        await self.open_connections(2)
+        self.silent = {1, 2}
+        quick = asyncio.ensure_future(self.pool.send(make_request(silence_s=0.1)))
+        await asyncio.sleep(0)
+        started = time.monotonic()
+        sibling = await self.pool.send(make_request(silence_s=1.0, deadline_s=3))
+        self.assertLess(time.monotonic() - started, 0.8)
+        await read_all(sibling)
+        await read_all(await quick)
+
+    async def test_unsafe_request_is_not_sent_again_and_ends_unknown(self):
+        await self.open_connections(1)
+        self.silent = {1}
+        request = make_request("POST", body=b"pay", silence_s=0.05, deadline_s=0.3)
+        with self.assertRaises(UpstreamError) as caught:
+            await self.pool.send(request)
+        self.assertEqual(caught.exception.run, "unknown")
+        self.assertTrue(caught.exception.timed_out)
+        posts = [r for r in self.backend.received if r.head.startswith(b"POST")]
+        self.assertEqual(len(posts), 1)
+        self.assertEqual(self.pool.current.number, 2)
+
+    async def test_unsafe_request_avoids_a_connection_idle_for_long(self):
+        await self.open_connections(1)
+        self.silent = {1}
+        await asyncio.sleep(0.55)
+        answer = await self.pool.send(make_request("POST", body=b"pay"))
+        self.assertEqual(await read_all(answer), b"ok")
+
+    async def test_move_at_the_connection_limit_stays_within_it(self):
+        self.pool.server = self.backend.describe(1)
+        await self.open_connections(1)
+        self.silent = {1}
+        self.assertEqual(
+            await read_all(await self.pool.send(make_request(silence_s=0.05))), b"ok"
+        )
+        self.assertEqual(max(self.held), 1)
+
+    async def test_slow_server_is_not_sent_every_request_twice(self):
+        # Ten requests of 0.1 s with a bound of 0.04 s on a server that only is slow.
+        await self.open_connections(1)
+        self.delay_s = 0.1
+        sent = len(self.backend.received)
+        for _ in range(10):
+            request = make_request(silence_s=0.04, deadline_s=3)
+            self.assertEqual(await read_all(await self.pool.send(request)), b"ok")
+        self.assertLessEqual(len(self.backend.received) - sent, 13)
+
+    async def test_answer_of_the_suspected_connection_is_used_when_none_can_open(self):
+        await self.open_connections(1)
+        self.backend.stop_listening()
+        self.delay_s = 0.15
+        answer = await self.pool.send(make_request(silence_s=0.05))
+        self.assertEqual(await read_all(answer), b"ok")
+        self.assertEqual(self.pool.current.number, 1)
+
+    async def test_cancelled_move_leaves_no_connection_behind(self):
+        await self.open_connections(1)
+        self.silent = {1, 2}
+        sending = asyncio.ensure_future(self.pool.send(make_request(silence_s=0.05)))
+        await asyncio.sleep(0.1)
+        sending.cancel()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.pool.count(), 0)
