--- /dev/null
+++ b/src/geraniumbend/adapters/disk.py
@@ -0,0 +1,7 @@
+"""Files that hold the durable state below the data folder."""
+
+from __future__ import annotations
+
+from geraniumbend.adapters._local_disk import LocalDisk
+
+__all__ = ["LocalDisk"]
--- /dev/null
+++ b/src/geraniumbend/replication/_peers.py
@@ -0,0 +1,215 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from geraniumbend.errors import GeraniumbendError
+from geraniumbend.replication._entries import entry_to_wire
+from geraniumbend.replication._files import Snapshot, snapshot_meta
+from geraniumbend.replication._following import checksum_of
+from geraniumbend.replication._messages import build_request, call_peer, cancel_tasks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from geraniumbend.replication._core import Core
+    from geraniumbend.replication._members import Member
+
+# Appends on the way to one peer; more only fill the peer's queue.
+PIPELINE_DEPTH = 8
+BATCH_ENTRIES = 512
+BATCH_BYTES = 1024 * 1024
+CHUNK_BYTES = 512 * 1024
+SNAPSHOT_TIMEOUT_S = 5.0
+NEVER = float("-inf")
+
+
+class Peer:
+    """Leader's side of one member: what it holds and one task that feeds it.
+
+    Parameters
+    ----------
+    core : Core
+        State of the replica.
+    member : Member
+        The peer.
+    on_progress : callable
+        Called when the peer acknowledged something.
+    """
+
+    def __init__(
+        self, core: Core, member: Member, on_progress: Callable[[], None]
+    ) -> None:
+        self.member = member
+        self.match_index = 0
+        self.next_index = core.log.last_index + 1
+        # Local time at which the last acknowledged message was sent.
+        self.acknowledged_at = NEVER
+        self.incarnation: int | None = None
+        self._core = core
+        self._term = core.term
+        self._on_progress = on_progress
+        self._is_probing = True
+        self._has_failed = False
+        self._heartbeat_due = True
+        self._wake = asyncio.Event()
+        self._sends: set[asyncio.Task[None]] = set()
+        self._task = asyncio.ensure_future(self._feed())
+
+    def wake(self, is_heartbeat: bool = False) -> None:
+        """Send what is new, or a heartbeat if one is due."""
+        self._heartbeat_due = self._heartbeat_due or is_heartbeat
+        self._wake.set()
+
+    def is_live(self) -> bool:
+        """Return whether the peer answered within an election timeout."""
+        since = self._core.timers.now() - self.acknowledged_at
+        return since <= self._core.election_timeout_s
+
+    async def close(self) -> None:
+        """Stop feeding the peer."""
+        await cancel_tasks([self._task, *self._sends])
+
+    async def _feed(self) -> None:
+        core = self._core
+        self._wake.set()
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if self._heartbeat_due:
+                self._has_failed = False
+            while not self._has_failed:
+                if self.next_index <= core.log.base_index and self.is_live():
+                    await self._send_snapshot()
+                    continue
+                has_entries = (
+                    core.log.base_index < self.next_index <= core.log.last_index
+                )
+                depth = 1 if self._is_probing else PIPELINE_DEPTH
+                has_room = len(self._sends) < depth
+                if not self._heartbeat_due and not (has_entries and has_room):
+                    break
+                self._heartbeat_due = False
+                self._send_append()
+
+    def _send_append(self) -> None:
+        core = self._core
+        # A peer that needs a snapshot is asked for a sign of life first.
+        is_behind = self.next_index <= core.log.base_index
+        previous = core.log.last_index if is_behind else self.next_index - 1
+        entries = core.log.slice(previous + 1, BATCH_ENTRIES, BATCH_BYTES)
+        if self._is_probing:
+            entries = entries[:1] if not self._sends else []
+        request = build_request(
+            core,
+            "AppendRequest",
+            term=self._term,
+            leader=core.node,
+            leader_address=core.leader_address,
+            prev_index=previous,
+            prev_term=core.log.term_at(previous),
+            entries=[entry_to_wire(entry) for entry in entries],
+            commit_index=core.commit_index,
+        )
+        if not self._is_probing:
+            self.next_index += len(entries)
+        task = asyncio.ensure_future(self._exchange(request))
+        self._sends.add(task)
+        task.add_done_callback(self._note_sent)
+
+    def _note_sent(self, task: asyncio.Task[None]) -> None:
+        self._sends.discard(task)
+        self._wake.set()
+
+    async def _exchange(self, request: Any) -> None:
+        core = self._core
+        sent_at = core.timers.now()
+        try:
+            response = await call_peer(
+                core,
+                self.member.address,
+                "append",
+                request,
+                "AppendResponse",
+                core.election_timeout_s,
+            )
+        except GeraniumbendError:
+            self._retreat(self.match_index + 1)
+            self._has_failed = True
+            return
+        if not await self._accept_reply(response, sent_at):
+            return
+        if response.success:
+            self._is_probing = False
+            self.match_index = max(self.match_index, response.match_index)
+            self.next_index = max(self.next_index, self.match_index + 1)
+        else:
+            self._retreat(max(self.match_index + 1, response.next_index))
+        self._on_progress()
+
+    async def _accept_reply(self, response: Any, sent_at: float) -> bool:
+        core = self._core
+        if response.term > core.term:
+            await core.observe_term(response.term)
+        if not core.is_leader or core.term != self._term:
+            return False
+        if response.incarnation != self.incarnation:
+            # The peer lost its log; what it acknowledged before counts no more.
+            self.incarnation = response.incarnation
+            self.match_index = 0
+        self.acknowledged_at = max(self.acknowledged_at, sent_at)
+        return True
+
+    def _retreat(self, index: int) -> None:
+        self._is_probing = True
+        self.next_index = max(1, min(index, self._core.log.last_index + 1))
+
+    async def _send_snapshot(self) -> None:
+        snapshot = await self._core.storage.read_snapshot()
+        try:
+            installed = snapshot is not None and await self._transfer(snapshot)
+        except GeraniumbendError:
+            installed = False
+        if installed and snapshot is not None:
+            self.match_index = max(self.match_index, snapshot.index)
+            self.next_index = self.match_index + 1
+            self._on_progress()
+        else:
+            self._has_failed = True
+
+    async def _transfer(self, snapshot: Snapshot) -> bool:
+        core = self._core
+        meta = snapshot_meta(snapshot)
+        checksum = checksum_of(snapshot.data)
+        total = len(snapshot.data)
+        offset = 0
+        while True:
+            request = build_request(
+                core,
+                "SnapshotRequest",
+                term=self._term,
+                leader=core.node,
+                leader_address=core.leader_address,
+                meta=meta,
+                offset=offset,
+                total=total,
+                data=snapshot.data[offset : offset + CHUNK_BYTES],
+                checksum=checksum,
+            )
+            sent_at = core.timers.now()
+            response = await call_peer(
+                core,
+                self.member.address,
+                "snapshot",
+                request,
+                "SnapshotResponse",
+                SNAPSHOT_TIMEOUT_S,
+            )
+            if not await self._accept_reply(response, sent_at):
+                return False
+            if response.installed:
+                return True
+            if response.received <= offset:
+                return False
+            offset = response.received
+            self._on_progress()
--- /dev/null
+++ b/src/geraniumbend/replication/_records.py
@@ -0,0 +1,181 @@
+from __future__ import annotations
+
+import struct
+from typing import NamedTuple
+
+import xxhash
+
+from geraniumbend.errors import StorageError
+
+FORMAT_VERSION = 1
+SEGMENT_MAGIC = b"GBLS"
+VOTE_MAGIC = b"GBVT"
+SNAPSHOT_MAGIC = b"GBSN"
+BACKUP_MAGIC = b"GBBK"
+# Magic, format version, two reserved bytes.
+HEADER = struct.Struct("!4sHH")
+# Length of the payload, xxh64 over length and payload.
+RECORD = struct.Struct("!IQ")
+SECTOR_BYTES = 512
+
+
+class VersionError(StorageError):
+    """A file was written by a newer release and must be left untouched."""
+
+
+class Scan(NamedTuple):
+    """Records of one segment.
+
+    Parameters
+    ----------
+    payloads : list of bytes
+        Valid records in order.
+    valid_bytes : int
+        Size of the file after a torn tail is cut.
+    """
+
+    payloads: list[bytes]
+    valid_bytes: int
+
+
+def file_header(magic: bytes) -> bytes:
+    """Return the first bytes of a file of a kind."""
+    return HEADER.pack(magic, FORMAT_VERSION, 0)
+
+
+def check_header(data: bytes, magic: bytes, path: str) -> None:
+    """Check the first bytes of a file.
+
+    Raises
+    ------
+    StorageError
+        If the magic is wrong.
+    VersionError
+        If the format is newer than this release reads.
+    """
+    if len(data) < HEADER.size or data[:4] != magic:
+        raise _damage(path, 0, "the file header is damaged")
+    version = HEADER.unpack_from(data)[1]
+    if version > FORMAT_VERSION:
+        raise VersionError(
+            f"{path} has format version {version}, this release reads up to "
+            f"{FORMAT_VERSION}",
+            "start a release that knows this format",
+        )
+
+
+def pack_record(payload: bytes) -> bytes:
+    """Return a payload with its length and checksum in front."""
+    length = len(payload).to_bytes(4, "big")
+    return b"".join(
+        (length, xxhash.xxh64_digest(length + payload), payload),
+    )
+
+
+def pack_file(magic: bytes, *payloads: bytes) -> bytes:
+    """Return a whole file of checksummed payloads."""
+    return file_header(magic) + b"".join(pack_record(part) for part in payloads)
+
+
+def unpack_file(data: bytes, magic: bytes, count: int, path: str) -> list[bytes]:
+    """Return the payloads of a file that `pack_file` wrote.
+
+    Raises
+    ------
+    StorageError
+        If any part is damaged or missing.
+    """
+    check_header(data, magic, path)
+    payloads: list[bytes] = []
+    position = HEADER.size
+    for _ in range(count):
+        payload = _read_record(data, position)
+        if payload is None:
+            raise _damage(path, position, "a checksum does not match")
+        payloads.append(payload)
+        position += RECORD.size + len(payload)
+    if position != len(data):
+        raise _damage(path, position, "bytes follow the last record")
+    return payloads
+
+
+def scan_segment(data: bytes, path: str, is_last: bool) -> Scan:
+    """Read the records of a segment.
+
+    Parameters
+    ----------
+    data : bytes
+        Content of the file.
+    path : str
+        Name of the file in errors.
+    is_last : bool
+        Whether it is the newest segment, the only one that may end torn.
+
+    Returns
+    -------
+    Scan
+        Records and the size to cut the file to.
+
+    Raises
+    ------
+    StorageError
+        If records are damaged and the damage is no torn tail.
+    """
+    if is_last and len(data) < HEADER.size:
+        return Scan([], 0)
+    if is_last and not any(data):
+        return Scan([], 0)
+    check_header(data, SEGMENT_MAGIC, path)
+    payloads: list[bytes] = []
+    position = HEADER.size
+    while position < len(data):
+        payload = _read_record(data, position)
+        if payload is None:
+            if is_last and _is_torn(data, position):
+                break
+            raise _damage(path, position, "a checksum does not match")
+        payloads.append(payload)
+        position += RECORD.size + len(payload)
+    return Scan(payloads, position)
+
+
+def _read_record(data: bytes, position: int) -> bytes | None:
+    if position + RECORD.size > len(data):
+        return None
+    length, _ = RECORD.unpack_from(data, position)
+    start = position + RECORD.size
+    if length == 0 or start + length > len(data):
+        return None
+    payload = data[start : start + length]
+    checked = data[position : position + 4] + payload
+    if xxhash.xxh64_digest(checked) != data[position + 4 : start]:
+        return None
+    return payload
+
+
+def _is_torn(data: bytes, position: int) -> bool:
+    # A write that a crash interrupted leaves a shorter file or sectors of zeros. A
+    # complete record with a wrong checksum, or a valid record behind the damage,
+    # means that synced bytes changed.
+    for later in range(position + 1, len(data) - RECORD.size):
+        if _read_record(data, later) is not None:
+            return False
+    if position + RECORD.size > len(data):
+        return True
+    length, _ = RECORD.unpack_from(data, position)
+    if position + RECORD.size + length > len(data):
+        return True
+    start = position
+    while start < len(data):
+        end = min(len(data), (start // SECTOR_BYTES + 1) * SECTOR_BYTES)
+        if not any(data[start:end]):
+            return True
+        start = end
+    return False
+
+
+def _damage(path: str, position: int, problem: str) -> StorageError:
+    return StorageError(
+        f"{path} is damaged at byte {position}: {problem}",
+        "the replica fetches a snapshot from its peers; a single voter needs a backup",
+    )
--- /dev/null
+++ b/src/geraniumbend/replication/_replica.py
@@ -0,0 +1,428 @@
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from geraniumbend.adapters.disk import LocalDisk
+from geraniumbend.errors import UnavailableError
+from geraniumbend.replication._changes import MemberChanges
+from geraniumbend.replication._core import Core
+from geraniumbend.replication._elections import Elections
+from geraniumbend.replication._entries import MEMBERS
+from geraniumbend.replication._following import Following
+from geraniumbend.replication._leading import Leading
+from geraniumbend.replication._members import decode_members, form_members
+from geraniumbend.replication._messages import call_peer, cancel_tasks, method_name
+from geraniumbend.replication._startup import Startup
+from geraniumbend.wire import decode, encode, load_structs
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+    from pathlib import Path
+
+    from geraniumbend.adapters.rpc import RpcServer
+    from geraniumbend.ports import RpcCaller, StateMachine
+    from geraniumbend.replication._files import Snapshot
+    from geraniumbend.replication._ports import Disk
+    from geraniumbend.settings import ControlSettings
+    from geraniumbend.timers import TimerService
+
+
+class MemberState(NamedTuple):
+    """A member as the asked replica sees it.
+
+    Parameters
+    ----------
+    name : str
+        Node name.
+    address : str
+        Peer address as ``ip:port``.
+    role : {"voter", "learner"}
+        Whether it counts for majorities.
+    is_leader : bool
+        Whether it is the leader known here.
+    is_live : bool or None
+        Whether it answered within an election timeout; None unless the asked
+        replica leads.
+    match_index : int or None
+        Last entry it holds on disk; None unless the asked replica leads.
+    """
+
+    name: str
+    address: str
+    role: str
+    is_leader: bool
+    is_live: bool | None
+    match_index: int | None
+
+
+class Replica:
+    """One replica of a replicated log.
+
+    Parameters
+    ----------
+    shard : str
+        Name of the log; also the name of its folder below `folder`.
+    node : str
+        Name of this node.
+    folder : str or Path
+        Data folder of the process.
+    voters : mapping of str to str
+        First voters, node name to peer address; read only until the log is formed.
+    machine : StateMachine
+        State that committed commands drive.
+    clients : RpcCaller
+        Calls to peers.
+    timers : TimerService
+        Clock.
+    settings : ControlSettings
+        Election timeout and heartbeat period.
+    disk : Disk or None, default=None
+        File operations; the local disk if None.
+    rng : random.Random or None, default=None
+        Source of election timeouts; seeded by the system if None.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        node: str,
+        folder: str | Path,
+        voters: Mapping[str, str],
+        machine: StateMachine,
+        clients: RpcCaller,
+        timers: TimerService,
+        settings: ControlSettings,
+        disk: Disk | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.shard = shard
+        self.node = node
+        self._voters = dict(voters)
+        self._own_disk = LocalDisk() if disk is None else None
+        chosen: Any = disk if disk is not None else self._own_disk
+        self._core = Core(
+            shard,
+            node,
+            f"{folder}/{shard}",
+            machine,
+            clients,
+            timers,
+            chosen,
+            settings.election_timeout_s,
+            settings.heartbeat_s,
+            rng or random.Random(),
+        )
+        self._leading = Leading(self._core)
+        self._elections = Elections(self._core, self._leading.start)
+        self._following = Following(self._core)
+        self._startup = Startup(self._core, voters)
+        self._changes = MemberChanges(self._core, self._leading)
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._is_running = False
+
+    def register(self, server: RpcServer) -> None:
+        """Register the handlers of this log.
+
+        Parameters
+        ----------
+        server : RpcServer
+            Server of the peer listener.
+        """
+        structs = load_structs("replication")
+        steps: dict[str, tuple[Any, Callable[[Any], Awaitable[Any]]]] = {
+            "append": (structs.AppendRequest, self._following.append),
+            "snapshot": (structs.SnapshotRequest, self._following.receive_snapshot),
+            "vote": (structs.VoteRequest, self._elections.answer),
+            "transfer": (structs.TransferRequest, self._take_over),
+        }
+        for action, (kind, answer) in steps.items():
+            self._register_struct(server, action, kind, answer)
+
+        @server.handle(method_name(self.shard, "status"))
+        async def report(body: bytes) -> bytes:
+            return encode(self._status())
+
+        @server.handle(method_name(self.shard, "propose"))
+        async def accept(body: bytes) -> bytes:
+            return await self.propose(body)
+
+        @server.handle(method_name(self.shard, "barrier"))
+        async def confirm(body: bytes) -> bytes:
+            self._require_running()
+            index = await self._leading.read_barrier()
+            return encode(structs.BarrierResponse(index=index))
+
+    async def start(self) -> None:
+        """Load the stored log and take part in elections.
+
+        Raises
+        ------
+        StorageError
+            If stored files are damaged and no peer can replace them, or were
+            written by a newer release.
+        """
+        core = self._core
+        stored = await self._startup.load()
+        if stored.vote is not None:
+            core.vote = core.saved_vote = stored.vote
+        if core.vote.formed:
+            core.member_sets = [(0, form_members(self._voters.items()))]
+        if stored.snapshot is not None:
+            core.restore(stored.snapshot)
+        for entry in stored.entries:
+            core.log.append(entry, 0)
+            core.uncompacted_bytes += len(entry.data)
+            if entry.kind == MEMBERS:
+                core.member_sets.append((entry.index, decode_members(entry.data)))
+        core.leader_contact = core.timeout_start = core.timers.now()
+        self._is_running = True
+        if core.is_empty and not core.vote.formed:
+            self._spawn(self._startup.form())
+        self._spawn(self._elections.run())
+
+    async def stop(self) -> None:
+        """Hand over leadership, then stop; open proposals get an unknown outcome."""
+        if self._is_running and self._core.is_leader:
+            await self._leading.transfer()
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Stop without handing over leadership."""
+        self._is_running = False
+        await cancel_tasks(self._tasks)
+        await self._core.stop()
+        await self._leading.close()
+        if self._own_disk is not None:
+            self._own_disk.close()
+
+    async def propose(self, command: bytes) -> bytes:
+        """Return the result of a command once a majority holds it on disk.
+
+        Parameters
+        ----------
+        command : bytes
+            Input of `StateMachine.apply`, at most 4 MiB.
+
+        Returns
+        -------
+        bytes
+            Result of `StateMachine.apply`.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica does not lead; the command was not taken.
+        UnavailableError
+            If the outcome is unknown.
+        StorageError
+            If the disk of this replica failed.
+        """
+        self._require_running()
+        return await self._leading.propose(command)
+
+    async def read_barrier(self) -> int:
+        """Return an index once this replica has applied all that was committed.
+
+        A replica that does not lead asks the leader for the index.
+
+        Returns
+        -------
+        int
+            Index that covers every command acknowledged before the call.
+
+        Raises
+        ------
+        NotLeaderError
+            If no leader with a majority can be asked.
+        """
+        self._require_running()
+        core = self._core
+        if core.is_leader:
+            return await self._leading.read_barrier()
+        if not core.leader_address or core.failure is not None:
+            raise core.failure or core.not_leader()
+        try:
+            answer = await call_peer(
+                core,
+                core.leader_address,
+                "barrier",
+                None,
+                "BarrierResponse",
+                2 * core.election_timeout_s,
+            )
+        except UnavailableError as error:
+            raise core.not_leader() from error
+        await core.wait_applied(answer.index)
+        return int(answer.index)
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads and may answer."""
+        return self._leading.has_lease()
+
+    @property
+    def leader_address(self) -> str:
+        """Return the peer address of the known leader, empty if unknown."""
+        return self._core.leader_address
+
+    @property
+    def commit_index(self) -> int:
+        """Return the last entry known to be held by a majority."""
+        return self._core.commit_index
+
+    @property
+    def epoch(self) -> int:
+        """Return how many restores from a backup led to this cluster."""
+        return self._core.members.epoch
+
+    @property
+    def cluster_id(self) -> str:
+        """Return the identity of the cluster, empty before it is formed."""
+        return self._core.members.cluster_id
+
+    def members(self) -> list[MemberState]:
+        """Return the members of the newest list, ordered by name."""
+        core = self._core
+        return [self._describe(member) for member in core.members.members]
+
+    async def add_member(self, name: str, address: str, voting: bool = True) -> None:
+        """Add a learner and return once the change is committed.
+
+        Parameters
+        ----------
+        name : str
+            Node name.
+        address : str
+            Peer address as ``ip:port``.
+        voting : bool, default=True
+            Whether the learner becomes a voter once it has caught up.
+
+        Raises
+        ------
+        ConflictError
+            If another change is in progress or the name is taken.
+        NotLeaderError
+            If this replica does not lead.
+        """
+        self._require_running()
+        await self._changes.add(name, address, voting)
+
+    async def remove_member(self, name: str) -> None:
+        """Remove a member and return once the change is committed.
+
+        Parameters
+        ----------
+        name : str
+            Node name.
+
+        Raises
+        ------
+        ConflictError
+            If another change is in progress or the live voters that remain would
+            not be a majority.
+        ConfigurationError
+            If there is no such member.
+        NotLeaderError
+            If this replica does not lead.
+        """
+        self._require_running()
+        await self._changes.remove(name)
+
+    async def take_snapshot(self) -> Snapshot:
+        """Return the state behind a read barrier, for a backup."""
+        await self.read_barrier()
+        return self._core.current_snapshot()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for operators."""
+        core = self._core
+        return {
+            "shard": self.shard,
+            "node": self.node,
+            "cluster_id": self.cluster_id,
+            "epoch": self.epoch,
+            "role": self._role(),
+            "term": core.term,
+            "leader": core.leader,
+            "leader_address": core.leader_address,
+            "commit_index": core.commit_index,
+            "applied_index": core.applied_index,
+            "last_index": core.log.last_index,
+            "snapshot_index": core.snapshot_index,
+            "log_bytes": core.storage.size(),
+            "syncs": core.storage.syncs,
+            "writes": core.storage.written,
+            "failure": str(core.failure) if core.failure else None,
+            "members": [member._asdict() for member in self.members()],
+        }
+
+    async def _take_over(self, request: Any) -> Any:
+        core = self._core
+        core.check_request(request)
+        if request.term == core.term and core.can_vote() and not core.is_leader:
+            self._spawn(self._elections.campaign(is_transfer=True))
+        return self._status()
+
+    def _status(self) -> Any:
+        self._require_running()
+        core = self._core
+        return load_structs("replication").StatusResponse(
+            node=self.node,
+            term=core.term,
+            leader_address=core.leader_address,
+            is_leader=self.is_leader,
+            last_index=core.log.last_index,
+            commit_index=core.commit_index,
+            is_empty=core.is_empty,
+            cluster_id=self.cluster_id,
+        )
+
+    def _register_struct(
+        self,
+        server: RpcServer,
+        action: str,
+        kind: Any,
+        answer: Callable[[Any], Awaitable[Any]],
+    ) -> None:
+        @server.handle(method_name(self.shard, action))
+        async def handle(body: bytes) -> bytes:
+            self._require_running()
+            return encode(await answer(decode(kind, body)))
+
+    def _require_running(self) -> None:
+        if not self._is_running:
+            raise UnavailableError(
+                f"log {self.shard} of {self.node} does not run", "try another host"
+            )
+
+    def _spawn(self, coroutine: Any) -> None:
+        self._tasks = [task for task in self._tasks if not task.done()]
+        self._tasks.append(asyncio.ensure_future(coroutine))
+
+    def _describe(self, member: Any) -> MemberState:
+        core = self._core
+        peer = self._leading.peers.get(member.name)
+        is_live, match = (peer.is_live(), peer.match_index) if peer else (None, None)
+        if core.is_leader and member.name == self.node:
+            is_live = True
+            match = core.log.durable_index(core.storage.written)
+        return MemberState(
+            member.name,
+            member.address,
+            "voter" if member.is_voter else "learner",
+            member.name == core.leader,
+            is_live,
+            match,
+        )
+
+    def _role(self) -> str:
+        core = self._core
+        if core.failure is not None:
+            return "failed"
+        if core.is_leader:
+            return "leader"
+        if core.can_vote():
+            return "follower"
+        return "learner"
--- /dev/null
+++ b/src/geraniumbend/replication/_storage.py
@@ -0,0 +1,279 @@
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from itertools import takewhile
+from typing import TYPE_CHECKING, Any
+
+from geraniumbend.errors import StorageError
+from geraniumbend.replication._entries import Entry, encode_entry
+from geraniumbend.replication._files import (
+    Segment,
+    Snapshot,
+    Stored,
+    Vote,
+    load_folder,
+    load_snapshot,
+    pack_snapshot,
+    pack_vote,
+    replace_file,
+)
+from geraniumbend.replication._records import (
+    HEADER,
+    SEGMENT_MAGIC,
+    file_header,
+    pack_record,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from geraniumbend.replication._ports import Disk
+
+SEGMENT_BYTES = 1024 * 1024
+
+
+class LogStorage:
+    """Segments, vote file and snapshot of one replica.
+
+    Entries that arrive while a sync runs share the next one. An entry whose index
+    is not above the last one overrides all entries from that index on, so segments
+    are only appended to.
+
+    Parameters
+    ----------
+    disk : Disk
+        File operations.
+    folder : str
+        Folder of the replica.
+    on_written : callable
+        Called on the event loop after each sync.
+    on_failure : callable
+        Called with a StorageError when a write fails; later writes fail as well.
+    """
+
+    def __init__(
+        self,
+        disk: Disk,
+        folder: str,
+        on_written: Callable[[], None],
+        on_failure: Callable[[StorageError], None],
+    ) -> None:
+        self.written = 0
+        self.syncs = 0
+        self._disk = disk
+        self._folder = folder
+        self._on_written = on_written
+        self._on_failure = on_failure
+        self._failure: StorageError | None = None
+        self._segments: list[Segment] = []
+        self._pending: list[Entry] = []
+        self._queued = 0
+        self._writer: asyncio.Task[None] | None = None
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._vote_lock = asyncio.Lock()
+        self._snapshot_lock = asyncio.Lock()
+
+    async def load(self) -> Stored:
+        """Read the folder and cut a torn tail.
+
+        Raises
+        ------
+        StorageError
+            If anything but the tail of the newest segment is damaged.
+        """
+        try:
+            stored, self._segments = await self._disk.run(
+                partial(load_folder, self._disk, self._folder)
+            )
+            return stored
+        except OSError as error:
+            raise StorageError(
+                f"{self._folder} cannot be read: {error}",
+                "check the disk and the permissions of the data folder",
+            ) from error
+
+    async def create(self, vote: Vote) -> None:
+        """Write the first files of a replica."""
+        segment = Segment(1)
+
+        def write() -> None:
+            self._disk.create_folder(self._folder)
+            path = f"{self._folder}/{segment.name}"
+            self._disk.write(path, file_header(SEGMENT_MAGIC))
+            self._disk.sync(path)
+            replace_file(self._disk, self._folder, "vote", pack_vote(vote))
+
+        await self._run(write)
+        segment.size = HEADER.size
+        self._segments = [segment]
+
+    async def save_vote(self, read_vote: Callable[[], Vote]) -> Vote:
+        """Make the current vote durable and return it; calls are serialized."""
+        async with self._vote_lock:
+            vote = read_vote()
+            data = pack_vote(vote)
+            await self._run(
+                partial(replace_file, self._disk, self._folder, "vote", data)
+            )
+            return vote
+
+    def enqueue(self, entry: Entry) -> int:
+        """Queue an entry for the next write and return the number of that write."""
+        self._queued += 1
+        self._pending.append(entry)
+        if self._writer is None or self._writer.done():
+            self._writer = asyncio.ensure_future(self._write_pending())
+        return self._queued
+
+    async def wait_written(self, number: int) -> None:
+        """Wait until a write is durable; raises StorageError if writing failed."""
+        if self._failure is not None:
+            raise self._failure
+        if number > self.written:
+            future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiters.append((number, future))
+            await future
+
+    async def save_snapshot(self, snapshot: Snapshot, is_reset: bool) -> None:
+        """Write a snapshot and delete the segments that it covers.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+            State to store.
+        is_reset : bool
+            Whether entries behind the snapshot are dropped as well.
+        """
+        async with self._snapshot_lock:
+            data = pack_snapshot(snapshot)
+            name = f"snapshot-{snapshot.index:016d}.snap"
+            if is_reset:
+                self._pending.clear()
+            # Later entries go to a new segment, so that the older ones can be
+            # deleted as a whole.
+            segment = Segment(self._segments[-1].number + 1)
+            segment.size = HEADER.size
+            self._segments.append(segment)
+            covered = list(
+                takewhile(
+                    lambda old: is_reset or old.last_index <= snapshot.index,
+                    self._segments[:-1],
+                )
+            )
+            await self._run(partial(self._write_snapshot, name, data, segment, covered))
+            self._segments = [kept for kept in self._segments if kept not in covered]
+
+    async def read_snapshot(self) -> Snapshot | None:
+        """Return the newest snapshot on disk."""
+        return await self._run(partial(load_snapshot, self._disk, self._folder))
+
+    async def set_aside(self) -> None:
+        """Move all files of a damaged replica to the folder ``damaged``."""
+
+        def move() -> None:
+            aside = f"{self._folder}/damaged"
+            self._disk.create_folder(aside)
+            taken = len(self._disk.list_files(aside))
+            # The vote file goes last: as long as it exists without the others the
+            # folder counts as damaged.
+            names = self._disk.list_files(self._folder)
+            for name in sorted(names, key=lambda name: name == "vote"):
+                taken += 1
+                self._disk.rename(
+                    f"{self._folder}/{name}", f"{aside}/{taken:06d}-{name}"
+                )
+            self._disk.sync_folder(aside)
+            self._disk.sync_folder(self._folder)
+
+        self._segments = []
+        await self._run(move)
+
+    async def close(self) -> None:
+        """Wait for the running write."""
+        if self._writer is not None:
+            await asyncio.gather(self._writer, return_exceptions=True)
+
+    def size(self) -> int:
+        """Return the bytes of all segments."""
+        return sum(segment.size for segment in self._segments)
+
+    async def _run(self, task: Callable[[], Any]) -> Any:
+        if self._failure is not None:
+            raise self._failure
+        try:
+            return await self._disk.run(task)
+        except OSError as error:
+            raise self._fail(error) from error
+
+    def _fail(self, error: OSError) -> StorageError:
+        # After a failed sync the kernel may have dropped the pages, so a later sync
+        # proves nothing about them.
+        if self._failure is None:
+            self._failure = StorageError(
+                f"{self._folder} cannot be written: {error}",
+                "check the disk, then restart the process",
+            )
+            for _, future in self._waiters:
+                if not future.done():
+                    future.set_exception(self._failure)
+            self._waiters.clear()
+            self._on_failure(self._failure)
+        return self._failure
+
+    async def _write_pending(self) -> None:
+        while self._pending and self._failure is None:
+            batch, self._pending = self._pending, []
+            number = self._queued
+            segment = self._segments[-1]
+            if segment.size > SEGMENT_BYTES:
+                segment = Segment(segment.number + 1)
+                self._segments.append(segment)
+            data = b"".join(pack_record(encode_entry(entry)) for entry in batch)
+            is_new = segment.size == 0
+            if is_new:
+                data = file_header(SEGMENT_MAGIC) + data
+            segment.size += len(data)
+            highest = max(entry.index for entry in batch)
+            segment.last_index = max(segment.last_index, highest)
+            try:
+                await self._run(partial(self._append, segment.name, data, is_new))
+            except StorageError:
+                return
+            self.syncs += 1
+            self.written = number
+            self._release_waiters()
+            self._on_written()
+
+    def _append(self, name: str, data: bytes, is_new: bool) -> None:
+        path = f"{self._folder}/{name}"
+        self._disk.append(path, data)
+        self._disk.sync(path)
+        if is_new:
+            self._disk.sync_folder(self._folder)
+
+    def _release_waiters(self) -> None:
+        waiting = []
+        for number, future in self._waiters:
+            if number > self.written:
+                waiting.append((number, future))
+            elif not future.done():
+                future.set_result(None)
+        self._waiters = waiting
+
+    def _write_snapshot(
+        self, name: str, data: bytes, segment: Segment, covered: list[Segment]
+    ) -> None:
+        path = f"{self._folder}/{segment.name}"
+        self._disk.write(path, file_header(SEGMENT_MAGIC))
+        self._disk.sync(path)
+        replace_file(self._disk, self._folder, name, data)
+        for old in covered:
+            # Synced one by one: a crash must not leave an older segment without
+            # its successor.
+            self._disk.remove(f"{self._folder}/{old.name}")
+            self._disk.sync_folder(self._folder)
+        for other in self._disk.list_files(self._folder):
+            if other.endswith(".snap") and other < name:
+                self._disk.remove(f"{self._folder}/{other}")
+        self._disk.sync_folder(self._folder)
--- /dev/null
+++ b/src/geraniumbend/wire/replication.thrift
@@ -0,0 +1,121 @@
+namespace py geraniumbend.wire.replication
+
+/** A replica in the replicated member list. */
+struct WireMember {
+  1: string name
+  2: string address
+  3: bool voter
+  /** Whether the leader makes this learner a voter once it has caught up. */
+  4: bool promote
+  /** Identity of the replica's disk; a replica that lost its log has a new one. */
+  5: i64 incarnation
+}
+
+struct WireMembers {
+  1: string cluster_id
+  2: i64 epoch
+  3: list<WireMember> members
+}
+
+/** One log entry, in messages and as the payload of a disk record. */
+struct WireEntry {
+  1: i64 index
+  2: i64 term
+  3: i32 kind
+  4: binary data
+}
+
+/** Content of the vote file. */
+struct VoteState {
+  1: i64 term
+  2: string voted_for
+  3: i64 incarnation
+  4: bool formed
+  5: bool lost
+}
+
+/** Head of a snapshot file, a snapshot transfer and a backup. */
+struct SnapshotMeta {
+  1: i64 index
+  2: i64 term
+  3: WireMembers members
+}
+
+struct AppendRequest {
+  1: i32 version
+  2: string cluster_id
+  3: i64 term
+  4: string leader
+  5: string leader_address
+  6: i64 prev_index
+  7: i64 prev_term
+  8: list<WireEntry> entries
+  9: i64 commit_index
+}
+
+struct AppendResponse {
+  1: i64 term
+  2: bool success
+  3: i64 match_index
+  /** Next index to try after a refusal. */
+  4: i64 next_index
+  5: i64 incarnation
+}
+
+struct VoteRequest {
+  1: i32 version
+  2: string cluster_id
+  3: i64 term
+  4: string candidate
+  5: i64 last_index
+  6: i64 last_term
+  7: bool is_trial
+  8: bool is_transfer
+}
+
+struct VoteResponse {
+  1: i64 term
+  2: bool granted
+  3: i64 incarnation
+}
+
+struct SnapshotRequest {
+  1: i32 version
+  2: string cluster_id
+  3: i64 term
+  4: string leader
+  5: string leader_address
+  6: SnapshotMeta meta
+  7: i64 offset
+  8: i64 total
+  9: binary data
+  10: i64 checksum
+}
+
+struct SnapshotResponse {
+  1: i64 term
+  2: i64 received
+  3: bool installed
+  4: i64 incarnation
+}
+
+struct TransferRequest {
+  1: i32 version
+  2: string cluster_id
+  3: i64 term
+}
+
+struct StatusResponse {
+  1: string node
+  2: i64 term
+  3: string leader_address
+  4: bool is_leader
+  5: i64 last_index
+  6: i64 commit_index
+  7: bool is_empty
+  8: string cluster_id
+}
+
+struct BarrierResponse {
+  1: i64 index
+}
--- /dev/null
+++ b/tests/replication/fakes.py
@@ -0,0 +1,352 @@
+"""Fakes at the interfaces of the replicated log."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+
+from geraniumbend.errors import GeraniumbendError, StorageError, UnavailableError
+from geraniumbend.replication import Replica
+from geraniumbend.settings import ControlSettings
+from geraniumbend.timers import ManualTimers
+
+
+class _File:
+    def __init__(self):
+        self.content = b""
+        self.durable = b""
+
+
+class MemoryDisk:
+    """Files in memory; a crash loses what was not synced."""
+
+    def __init__(self):
+        self.names = {}
+        self.durable_names = {}
+        self.steps = 0
+        self.fail_at = None
+        self.sync_fails = False
+        self._lock = asyncio.Lock()
+
+    async def run(self, task):
+        async with self._lock:
+            await asyncio.sleep(0)
+            return task()
+
+    def crash(self, rng):
+        """Keep synced bytes and a random part of the others."""
+        names = {}
+        for path in sorted({*self.names, *self.durable_names}):
+            file = rng.choice([self.names, self.durable_names]).get(path)
+            if self.names.get(path) is self.durable_names.get(path):
+                file = self.names.get(path)
+            if file is None:
+                continue
+            if file.content.startswith(file.durable):
+                added = file.content[len(file.durable) :]
+                kept = rng.randint(0, len(added))
+                torn = added[:kept] + bytes(rng.choice([0, len(added) - kept]))
+                file.content = file.durable + torn
+            else:
+                file.content = rng.choice([file.content, file.durable])
+            file.durable = file.content
+            names[path] = file
+        self.names, self.durable_names = names, dict(names)
+        self.fail_at = None
+        self.sync_fails = False
+        self._lock = asyncio.Lock()
+
+    def list_files(self, folder):
+        self._step()
+        prefix = f"{folder}/"
+        rest = [path[len(prefix) :] for path in self.names if path.startswith(prefix)]
+        return sorted(name for name in rest if "/" not in name)
+
+    def read(self, path):
+        self._step()
+        return self._get(path).content
+
+    def create_folder(self, folder):
+        self._step()
+
+    def append(self, path, data):
+        self._step()
+        self.names.setdefault(path, _File()).content += data
+
+    def write(self, path, data):
+        self._step()
+        self.names.setdefault(path, _File()).content = data
+
+    def truncate(self, path, size):
+        self._step()
+        self._get(path).content = self._get(path).content[:size]
+
+    def sync(self, path):
+        self._step()
+        if self.sync_fails:
+            raise OSError(5, "injected sync failure")
+        self._get(path).durable = self._get(path).content
+
+    def rename(self, source, target):
+        self._step()
+        self.names[target] = self.names.pop(source)
+
+    def remove(self, path):
+        self._step()
+        if self.names.pop(path, None) is None:
+            raise FileNotFoundError(path)
+
+    def sync_folder(self, folder):
+        self._step()
+        for path in {*self.names, *self.durable_names}:
+            if path.rpartition("/")[0] == folder:
+                if path in self.names:
+                    self.durable_names[path] = self.names[path]
+                else:
+                    del self.durable_names[path]
+
+    def _get(self, path):
+        if path not in self.names:
+            raise FileNotFoundError(path)
+        return self.names[path]
+
+    def _step(self):
+        self.steps += 1
+        if self.fail_at is not None and self.steps >= self.fail_at:
+            raise OSError(5, f"injected crash at step {self.steps}")
+
+
+class MemoryNetwork:
+    """Calls between nodes in memory, with partitions and latency."""
+
+    def __init__(self, timers, rng, latency_s=0.0):
+        self.timers = timers
+        self.rng = rng
+        self.latency_s = latency_s
+        self.handlers = {}
+        self.running = {}
+        self.cut = set()
+        self.calls = []
+
+    def partition(self, *sides):
+        """Cut the links between nodes of different sides."""
+        self.cut = {
+            (one, other)
+            for side in sides
+            for one in side
+            for rest in sides
+            if rest is not side
+            for other in rest
+        }
+
+    def isolate(self, node, others):
+        self.partition([node], [other for other in others if other != node])
+
+    def heal(self):
+        self.cut = set()
+
+    async def disconnect(self, node):
+        self.handlers.pop(node, None)
+        tasks = self.running.pop(node, set())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def deliver(self, source, target, method, body, future):
+        try:
+            await self._travel(source, target)
+            handler = self.handlers.get(target, {}).get(method)
+            if handler is None:
+                raise UnavailableError(f"{target} is down")
+            self.calls.append((source, target, method))
+            answer = await handler(body)
+            await self._travel(target, source)
+        except _CutError:
+            return
+        except GeraniumbendError as error:
+            if not future.done():
+                future.set_exception(error)
+            return
+        if not future.done():
+            future.set_result(answer)
+
+    async def _travel(self, source, target):
+        if self.latency_s:
+            await self.timers.sleep(self.rng.uniform(0.1, 1.0) * self.latency_s)
+        else:
+            await asyncio.sleep(0)
+        if (source, target) in self.cut:
+            raise _CutError
+
+
+class _CutError(Exception):
+    pass
+
+
+class MemoryClients:
+    """RpcCaller of one node."""
+
+    def __init__(self, network, node):
+        self._network = network
+        self._node = node
+
+    async def call(self, address, method, body, timeout_s):
+        future = asyncio.get_running_loop().create_future()
+
+        def expire():
+            if not future.done():
+                future.set_exception(UnavailableError(f"{method} timed out"))
+
+        timer = self._network.timers.after(timeout_s, expire)
+        delivery = asyncio.ensure_future(
+            self._network.deliver(self._node, address, method, body, future)
+        )
+        # The receiver runs the call to its end even if the sender gives up.
+        tasks = self._network.running.setdefault(address, set())
+        tasks.add(delivery)
+        delivery.add_done_callback(tasks.discard)
+        try:
+            return await future
+        finally:
+            timer.cancel()
+
+
+class MemoryServer:
+    def __init__(self):
+        self.handlers = {}
+
+    def handle(self, method):
+        def register(handler):
+            self.handlers[method] = handler
+            return handler
+
+        return register
+
+
+class ListMachine:
+    """Keeps all applied commands in order."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index, command):
+        if command.startswith(b"fail"):
+            raise ValueError("injected")
+        self.commands.append(command.decode())
+        return str(len(self.commands)).encode()
+
+    def snapshot(self):
+        return json.dumps(self.commands).encode()
+
+    def restore(self, data):
+        self.commands = json.loads(data)
+
+
+class Cluster:
+    """Replicas of one log; node names double as addresses."""
+
+    def __init__(self, count, seed=1, latency_s=0.0):
+        self.rng = random.Random(seed)
+        self.timers = ManualTimers()
+        self.network = MemoryNetwork(self.timers, self.rng, latency_s)
+        self.voters = {f"n{number}": f"n{number}" for number in range(1, count + 1)}
+        self.disks = {}
+        self.replicas = {}
+        self.machines = {}
+
+    @property
+    def nodes(self):
+        return sorted(self.replicas)
+
+    async def start(self, *names):
+        for name in names or self.voters:
+            disk = self.disks.setdefault(name, MemoryDisk())
+            machine = self.machines[name] = ListMachine()
+            replica = Replica(
+                "config",
+                name,
+                "data",
+                self.voters,
+                machine,
+                MemoryClients(self.network, name),
+                self.timers,
+                ControlSettings(),
+                disk=disk,
+                rng=random.Random(self.rng.random()),
+            )
+            server = MemoryServer()
+            replica.register(server)
+            await replica.start()
+            self.network.handlers[name] = server.handlers
+            self.replicas[name] = replica
+
+    async def kill(self, name):
+        """End a process without warning; unsynced writes are lost."""
+        await self.network.disconnect(name)
+        replica = self.replicas.pop(name)
+        # Writes of the dead process must not reach the disk while its tasks end.
+        self.disks[name].fail_at = 0
+        await replica.abort()
+        self.disks[name].crash(self.rng)
+
+    async def stop(self):
+        for name in self.nodes:
+            await self.network.disconnect(name)
+            await self.replicas.pop(name).abort()
+
+    async def run(self, seconds, step=0.01):
+        for _ in range(round(seconds / step)):
+            await self.timers.advance(step)
+
+    async def until(self, condition, seconds=20.0):
+        for _ in range(round(seconds / 0.02)):
+            if condition():
+                return
+            await self.timers.advance(0.02)
+        raise AssertionError(
+            f"not within {seconds} s: "
+            + str([replica.dump() for replica in self.replicas.values()])
+        )
+
+    async def leader(self):
+        def leaders():
+            return [name for name in self.nodes if self.replicas[name].is_leader]
+
+        await self.until(lambda: leaders())
+        return self.replicas[leaders()[0]]
+
+    async def finish(self, awaitable, seconds=20.0):
+        """Return the result of an awaitable while time goes on."""
+        task = asyncio.ensure_future(awaitable)
+        await self.until(task.done, seconds)
+        return task.result()
+
+    async def propose(self, *commands):
+        """Propose commands one after the other at the leader."""
+        for command in commands:
+            replica = await self.leader()
+            await self.finish(replica.propose(command.encode()))
+
+    async def converge(self, names=None):
+        """Wait until all replicas applied the same commands."""
+
+        def same():
+            lists = [self.machines[name].commands for name in names or self.nodes]
+            return all(commands == lists[0] for commands in lists)
+
+        leader = await self.leader()
+        index = await self.finish(leader.read_barrier())
+        await self.until(
+            lambda: (
+                same()
+                and all(
+                    self.replicas[name].dump()["applied_index"] >= index
+                    for name in names or self.nodes
+                )
+            )
+        )
+        return self.machines[leader.node].commands
+
+
+__all__ = ["Cluster", "ListMachine", "MemoryDisk", "StorageError"]
