Index rules by host and first path segment

Cause: matching tried all rules in turn; at the two-year size of 690 services that alone costs half of the 1.1 ms budget. Change: rules are indexed by literal host and first path segment, with the documented order kept by position. Measured: RuleTable.find, timeit over all rules: 10 rules 10.2 -> 5.1 us, 100 rules 90.7 -> 5.0 us, 690 rules 623 -> 5.3 us (same machine, shared). Mutations seen red: position comparison reversed (property test), star taken for a literal segment (named test; 400 derandomised examples had missed it). Conclusion: cost no longer grows with the number of rules.

--- a/src/geraniumbend/routing/_matching.py
+++ b/src/geraniumbend/routing/_matching.py
@@ -30,10 +30,18 @@
     headers: Mapping[str, str]
 
 
+class _Entry(NamedTuple):
+    position: int
+    rule: Rule
+    matches: Callable[[RequestFacts], bool]
+
+
 class RuleTable:
     """Rules of one configuration in the order in which they are tried.
 
-    Higher priority comes first, then the longer path prefix, then the name.
+    Higher priority comes first, then the longer path prefix, then the name. Rules are
+    indexed by their literal host and first path segment, since trying all rules of
+    hundreds of services in turn takes longer than relaying a request.
 
     Parameters
     ----------
@@ -43,15 +51,46 @@
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
+        self._index: dict[tuple[str, str], list[_Entry]] = {}
         ordered = sorted(configuration.rules.values(), key=_sort_key)
-        self._rules = [(rule, _compile(rule)) for rule in ordered]
+        for position, rule in enumerate(ordered):
+            key = (_literal_host(rule), _literal_segment(rule))
+            entry = _Entry(position, rule, _compile(rule))
+            self._index.setdefault(key, []).append(entry)
 
     def find(self, request: RequestFacts) -> Rule | None:
         """Return the first rule that matches a request, or None."""
-        for rule, matches in self._rules:
-            if matches(request):
-                return rule
-        return None
+        host = normalize_host(request.host)
+        segment = request.path[1:].partition("/")[0]
+        keys = ((host, segment), (host, ""), ("", segment), ("", ""))
+        best: _Entry | None = None
+        for key in dict.fromkeys(keys):
+            for entry in self._index.get(key, ()):
+                if best is not None and entry.position > best.position:
+                    break
+                if entry.matches(request):
+                    best = entry
+                    break
+        return best.rule if best is not None else None
+
+
+def normalize_host(host: str) -> str:
+    """Return a Host header in lower case and without port.
+
+    Parameters
+    ----------
+    host : str
+        Value of the header.
+
+    Returns
+    -------
+    str
+        Name or address; IPv6 addresses keep their brackets.
+    """
+    name = host.lower()
+    if name.endswith("]"):
+        return name
+    return name.rpartition(":")[0] or name
 
 
 def compile_pattern(pattern: str) -> re.Pattern[str]:
@@ -95,10 +134,26 @@
     return lambda request: all(check(request) for check in checks)
 
 
+def _literal_host(rule: Rule) -> str:
+    host = rule.match.host.lower()
+    return "" if host.startswith("*.") else host
+
+
+def _literal_segment(rule: Rule) -> str:
+    segments = {
+        _first_whole_segment(rule.match.path_prefix),
+        _first_whole_segment(rule.match.path_pattern),
+    } - {""}
+    return segments.pop() if len(segments) == 1 else ""
+
+
+def _first_whole_segment(path: str) -> str:
+    segment, slash, _ = path[1:].partition("/")
+    return segment if slash and path.startswith("/") and "*" not in segment else ""
+
+
 def _host_matches(wanted: str, host: str) -> bool:
-    name = host.lower()
-    if not name.endswith("]"):
-        name = name.rpartition(":")[0] or name
+    name = normalize_host(host)
     if wanted.startswith("*."):
         return name.endswith(wanted[1:].lower())
     return name == wanted.lower()
--- a/tests/routing/test_matching.py
+++ b/tests/routing/test_matching.py
@@ -2,8 +2,12 @@
 
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from geraniumbend.model import Configuration, Rule, RuleMatch
 from geraniumbend.routing import RequestFacts, RuleTable
+from geraniumbend.routing._matching import _compile
 
 
 def find(rules, path="/", host="h", method="GET", headers=None):
@@ -30,6 +34,10 @@
         self.assertEqual(find(rules, "/shows/7/files/a/b"), "r")
         self.assertIsNone(find(rules, "/shows/7/8/files/a"))
 
+    def test_pattern_that_starts_with_a_star_is_found_in_the_index(self):
+        rules = [Rule("r", "g", RuleMatch(path_pattern="/*/files"))]
+        self.assertEqual(find(rules, "/7/files"), "r")
+
     def test_host_ignores_port_and_case_and_allows_subdomains(self):
         rules = [Rule("r", "g", RuleMatch(host="*.Example"))]
         self.assertEqual(find(rules, host="a.example:8080"), "r")
@@ -39,3 +47,35 @@
         rules = [Rule("r", "g", RuleMatch(headers={"x-kind": "file", "x-any": "*"}))]
         self.assertEqual(find(rules, headers={"x-kind": "file", "x-any": "1"}), "r")
         self.assertIsNone(find(rules, headers={"x-kind": "file"}))
+
+
+SEGMENTS = st.sampled_from(["a", "b", "ab"])
+PATHS = st.lists(SEGMENTS, max_size=3).map(lambda parts: "/" + "/".join(parts))
+PREFIXES = st.one_of(st.just(""), PATHS, PATHS.map(lambda path: path + "/"))
+PATTERNS = st.sampled_from(["", "/a/*", "/*/b", "/a/**", "/**", "/ab"])
+HOSTS = st.sampled_from(["", "x.example", "*.example", "X.Example"])
+MATCHES = st.builds(RuleMatch, host=HOSTS, path_prefix=PREFIXES, path_pattern=PATTERNS)
+
+
+class RuleIndexTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(
+        st.lists(st.tuples(MATCHES, st.integers(0, 2)), max_size=6),
+        PATHS,
+        st.sampled_from(["x.example", "y.example:80", "other", "X.EXAMPLE"]),
+    )
+    def test_index_finds_the_rule_that_a_scan_of_all_rules_finds(
+        self, drawn, path, host
+    ):
+        rules = [
+            Rule(f"r{number}", "g", match, priority=priority)
+            for number, (match, priority) in enumerate(drawn)
+        ]
+        request = RequestFacts(host, path, "GET", {})
+        ordered = sorted(rules, key=order_of)
+        scan = [rule.name for rule in ordered if _compile(rule)(request)]
+        self.assertEqual(find(rules, path, host), scan[0] if scan else None)
+
+
+def order_of(rule):
+    return (-rule.priority, -len(rule.match.path_prefix), rule.name)
