Admit opens of sheets by rank under overload

Requests had no limit, so at a crest every open would lose some of its requests. Admission ranks by hash of the open's id, so all gateways favour the same opens, refuses above a level computed from slots, learned cost and offered work, queues by rank and drops what cannot finish. Callers above an eighth of the capacity rank lower in proportion and do not count in the level of the others.

--- /dev/null
+++ b/src/geraniumbend/admission/_levels.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import math
+
+from geraniumbend.admission._demand import DemandWindow
+
+# Share of the slots that the level aims to keep busy. Servers with short queues keep
+# their slots busy without long waits.
+TARGET = 0.97
+PERIOD_S = 0.1
+# Queue wait as a share of the deadline at which the level is lowered or raised.
+HIGH_WAIT = 0.4
+LOW_WAIT = 0.1
+# Reported utilization below which the level is raised.
+LOW_UTILIZATION = 0.9
+# Below this utilization nothing is refused for its rank, whatever the estimate of
+# demand says; a short burst may look like a crest in the first seconds.
+IDLE_UTILIZATION = 0.7
+STEP = 0.01
+LOWEST_CORRECTION = 0.5
+HIGHEST_CORRECTION = 1.3
+
+
+class AdmissionLevel:
+    """Highest rank that is admitted, from capacity and offered work.
+
+    The level is capacity divided by offered work, which all gateways compute alike
+    from their own demand, times a correction that follows the queue delay and the
+    utilization that the servers report.
+    """
+
+    def __init__(self) -> None:
+        self.demand = DemandWindow()
+        self.value = math.inf
+        self.correction = 1.0
+        self._updated = -math.inf
+        self._wait = 0.0
+
+    def observe_wait(self, waited_s: float, allowed_s: float) -> None:
+        """Take the queue wait of one request and the time it had, in seconds."""
+        share = min(1.0, waited_s / allowed_s) if allowed_s > 0 else 1.0
+        self._wait += 0.1 * (share - self._wait)
+
+    def update(
+        self, slots: float, utilization: float, running: int, now: float
+    ) -> float:
+        """Return the level, computed anew once a period.
+
+        Parameters
+        ----------
+        slots : float
+            Slots of the group that fall to this gateway.
+        utilization : float
+            Reported requests per slot of the group; 0 when unknown.
+        running : int
+            Requests of this gateway in flight.
+        now : float
+            Present time in seconds.
+
+        Returns
+        -------
+        float
+            Ranks above it are refused; above 1 when demand is below capacity.
+        """
+        if now - self._updated < PERIOD_S:
+            return self.value
+        self._updated = now
+        offered = self.demand.rate(now)
+        if offered <= 0:
+            self.value = math.inf
+            self.correction = 1.0
+            return self.value
+        self._correct(utilization)
+        self.value = slots * TARGET * self.correction / offered
+        busy = utilization if utilization > 0 else running / max(slots, 1.0)
+        if busy < IDLE_UTILIZATION:
+            self.value = max(1.0, self.value)
+        return self.value
+
+    def _correct(self, utilization: float) -> None:
+        if self.value >= 1:
+            self.correction += STEP * (1.0 - self.correction)
+        elif self._wait > HIGH_WAIT:
+            self.correction = max(LOWEST_CORRECTION, self.correction - STEP)
+        elif self._wait < LOW_WAIT and 0 < utilization < LOW_UTILIZATION:
+            self.correction = min(HIGHEST_CORRECTION, self.correction + STEP)
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -5,7 +5,6 @@
 
 from geraniumbend.errors import RefusedError
 from geraniumbend.logs import declare_event, log_event
-from geraniumbend.routing._lanes import LaneTable
 from geraniumbend.routing._policies import Choice, Policy, policies, score
 from geraniumbend.routing._reports import parse_report
 from geraniumbend.routing._subsets import choose_subset
@@ -76,7 +75,6 @@
         failure_domain: str = "",
         seed: int | None = None,
     ) -> None:
-        self.lanes = LaneTable(table, timers)
         self._table = table
         self._shares = shares
         self._timers = timers
@@ -232,7 +230,7 @@
     def _choose_in_lane(
         self, group: str, members: list[ServerView], choice: Choice, policy: Policy
     ) -> ServerView:
-        lanes = self.lanes.lanes(group)
+        lanes = self._table.lanes.lanes(group)
         if not lanes.long:
             return policy.choose(members, choice)
         in_lane = {view.server_id for view in lanes.long}
--- a/src/geraniumbend/routing/_table.py
+++ b/src/geraniumbend/routing/_table.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from geraniumbend.routing._costs import RequestCosts
+from geraniumbend.routing._lanes import LaneTable
 from geraniumbend.routing._selectors import Selector, parse_selector
 from geraniumbend.routing._views import ServerView
 
@@ -33,6 +34,7 @@
 
     def __init__(self, timers: TimerService) -> None:
         self.costs = RequestCosts(timers)
+        self.lanes = LaneTable(self, timers)
         self.version = 0
         self._timers = timers
         self._first_update = math.inf
--- /dev/null
+++ b/tests/admission/test_admission.py
@@ -0,0 +1,167 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from geraniumbend.admission import Admission, AdmissionRequest, rank_open
+from geraniumbend.errors import RefusedError
+from geraniumbend.routing import ServerTable
+from geraniumbend.timers import ManualTimers
+from tests.fakes import FakeShares, build_configuration, build_servers
+
+SERVICE_S = 0.2
+
+
+def build_table(timers, count=15, slots=6):
+    table = ServerTable(timers)
+    table.update(build_servers(count, slots), build_configuration())
+    for _ in range(20):
+        table.costs.observe("g", "c", SERVICE_S)
+    return table
+
+
+class AdmissionCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.timers = ManualTimers()
+        self.table = build_table(self.timers)
+        self.tasks = []
+
+    async def asyncSetUp(self):
+        # Debug mode makes thousands of short tasks several times slower.
+        asyncio.get_running_loop().set_debug(False)
+
+    def build(self, gateways=1, queue_limit=512):
+        return Admission(self.table, FakeShares(gateways), self.timers, queue_limit, 7)
+
+    def start(self, admission, sheet="", caller="", time_s=2.0, service_s=SERVICE_S):
+        caller = caller or f"caller-{len(self.tasks) % 200}"
+        deadline = self.timers.now() + time_s
+
+        async def run():
+            request = AdmissionRequest("g", "c", sheet, caller, deadline)
+            try:
+                ticket = await admission.admit(request)
+            except RefusedError as error:
+                return error
+            await self.timers.sleep(service_s)
+            ticket.release()
+            return self.timers.now() <= deadline
+
+        self.tasks.append(asyncio.ensure_future(run()))
+        return self.tasks[-1]
+
+    async def finish(self):
+        await self.timers.advance(10)
+        return [task.result() for task in self.tasks]
+
+
+class AdmissionTest(AdmissionCase):
+    async def test_demand_below_capacity_is_admitted_whole(self):
+        admission = self.build()
+        for _ in range(100):
+            for _ in range(4):
+                self.start(admission)
+            await self.timers.advance(0.01)
+        self.assertEqual(set(await self.finish()), {True})
+
+    async def test_crest_is_answered_by_whole_opens_on_many_gateways(self):
+        gateways = [self.build(gateways=13) for _ in range(13)]
+        source = random.Random(5)
+        opens = []
+        for step in range(400):
+            # 90 slots of 0.2 s answer 4.5 requests a step; an open has 8 of them.
+            for _ in range(source.choice((1, 2, 2))):
+                sheet = f"open-{len(opens)}"
+                opens.append(
+                    [self.start(source.choice(gateways), sheet) for _ in range(8)]
+                )
+            if step % 5 == 4:
+                await self.timers.advance(0.05)
+        await self.finish()
+        late = opens[150:]
+        whole = sum(all(task.result() is True for task in tasks) for tasks in late)
+        capacity = 4.5 / (8 * 5 / 3)
+        self.assertGreater(whole / len(late), 0.85 * capacity)
+
+    async def test_refusal_is_early_and_says_not_run(self):
+        admission = self.build(gateways=90)
+        self.start(admission, time_s=10)
+        await self.timers.advance(0)
+        for _ in range(12):
+            self.start(admission, time_s=0.5)
+        before = self.timers.now()
+        await self.timers.advance(0.0)
+        refused = [task.result() for task in self.tasks if task.done()]
+        self.assertGreaterEqual(len(refused), 1)
+        self.assertEqual({error.run for error in refused}, {"not_run"})
+        self.assertEqual(self.timers.now(), before)
+
+    async def test_request_that_cannot_finish_any_more_leaves_the_queue(self):
+        admission = self.build(gateways=90)
+        for _ in range(2):
+            self.start(admission, time_s=10, service_s=5.0)
+        await self.timers.advance(0)
+        queued = self.start(admission, time_s=1.0)
+        await self.timers.advance(0.5)
+        self.assertFalse(queued.done())
+        await self.timers.advance(0.4)
+        self.assertIsInstance(queued.result(), RefusedError)
+
+    async def test_lowest_rank_goes_first_and_a_full_queue_drops_the_highest(self):
+        admission = self.build(gateways=90, queue_limit=3)
+        first = [self.start(admission, service_s=1.0) for _ in range(2)]
+        await self.timers.advance(0)
+        sheets = sorted((f"s{n}" for n in range(4)), key=rank_open, reverse=True)
+        queued = [self.start(admission, sheet, time_s=9) for sheet in sheets]
+        await self.timers.advance(0)
+        self.assertIsInstance(queued[0].result(), RefusedError)
+        await self.timers.advance(1.25)
+        self.assertTrue(all(task.done() for task in first))
+        self.assertEqual([task.done() for task in queued[1:]], [False, True, True])
+
+    async def test_cancelled_caller_leaves_neither_queue_nor_slot_occupied(self):
+        admission = self.build(gateways=90)
+        for _ in range(2):
+            self.start(admission, service_s=0.5)
+        await self.timers.advance(0)
+        gone = self.start(admission)
+        await self.timers.advance(0)
+        gone.cancel()
+        await self.timers.advance(0)
+        self.assertEqual(admission.dump()["g/short"]["queued"], 0)
+        await self.timers.advance(1)
+        state = admission.dump()["g/short"]
+        self.assertEqual((state["running"], state["queued"]), (0, 0))
+
+    async def test_flood_of_one_caller_does_not_starve_the_others(self):
+        admission = self.build()
+        polite = []
+        for step in range(400):
+            for _ in range(30):
+                self.start(admission, caller="flood")
+            for _ in range(4):
+                polite.append(self.start(admission, caller=f"c{len(polite) % 50}"))
+            await self.timers.advance(0.01)
+        await self.finish()
+        answered = sum(task.result() is True for task in polite)
+        self.assertGreater(answered / len(polite), 0.8)
+
+    async def test_recovers_within_two_seconds_after_the_crest(self):
+        admission = self.build()
+        for _ in range(300):
+            for _ in range(14):
+                self.start(admission)
+            await self.timers.advance(0.01)
+        self.assertLess(admission.dump()["g/short"]["level"], 0.6)
+        await self.timers.advance(2)
+        self.tasks.clear()
+        for _ in range(100):
+            self.start(admission)
+            await self.timers.advance(0.01)
+        self.assertEqual(set(await self.finish()), {True})
+
+    async def test_every_group_admits_at_least_one_request(self):
+        admission = self.build(gateways=10_000)
+        self.start(admission)
+        self.assertEqual(await self.finish(), [True])
