Add membership, shares and authenticated datagrams

Gateways need one view of processes and backend servers without an external store. Adds a SWIM failure detector, versioned records spread with bounded transmissions, digest anti-entropy over RPC, leases vouched by the gateway that received the announcement, notices with acknowledgements, shares, and UDP frames signed with the cluster key. Tests use an in-memory network with manual time.

--- /dev/null
+++ b/src/geraniumbend/adapters/datagram.py
@@ -0,0 +1,217 @@
+"""Authenticated datagrams over UDP between the processes of a cluster."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+from geraniumbend.adapters._datagram_frames import (
+    DATA,
+    HELLO,
+    HELLO_ANSWER,
+    MAX_PAYLOAD_BYTES,
+    DatagramFrames,
+    Frame,
+)
+from geraniumbend.errors import GeraniumbendError, ProtocolError
+from geraniumbend.logs import declare_event, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from geraniumbend.keys import KeyRing
+
+__all__ = ["DatagramCounts", "Datagrams", "MAX_PAYLOAD_BYTES", "read_boot_time"]
+
+# Payloads kept per address until its boot time is known; gossip repeats the rest.
+MAX_PENDING = 8
+MAX_PEERS = 8192
+# A forged address must not make this node send more than it receives.
+HELLO_INTERVAL_S = 0.05
+
+declare_event(
+    112, "datagram_rejected", "debug", "A datagram of a peer was dropped unread."
+)
+declare_event(
+    113, "datagram_not_sent", "debug", "A datagram could not be sent to an address."
+)
+
+
+def read_boot_time() -> int:
+    """Return the wall clock in nanoseconds, which orders the boots of a process."""
+    return time.time_ns()
+
+
+class DatagramCounts(NamedTuple):
+    """Counters of a socket.
+
+    Parameters
+    ----------
+    sent, received : int
+        Datagrams.
+    rejected : int
+        Datagrams dropped: wrong size, tag, type or key, or received before.
+    """
+
+    sent: int
+    received: int
+    rejected: int
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """UDP socket of one node; implements `ports.DatagramPort`.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node.
+    host : str
+        IP address to bind.
+    port : int
+        UDP port; 0 takes a free one.
+    keys : KeyRing
+        Cluster keys.
+    boot : int or None, default=None
+        Boot time in nanoseconds; the wall clock when None.
+    """
+
+    def __init__(
+        self, node: str, host: str, port: int, keys: KeyRing, boot: int | None = None
+    ) -> None:
+        self.host = host
+        self.port = port
+        self._frames = DatagramFrames(node, keys, boot or read_boot_time())
+        self._callback: Callable[[str, bytes], None] = lambda address, payload: None
+        self._transport: asyncio.DatagramTransport | None = None
+        self._boots: dict[str, int] = {}
+        self._pending: dict[str, list[bytes]] = {}
+        self._last_hello: dict[str, float] = {}
+        self._sent = self._received = self._rejected = 0
+
+    @property
+    def address(self) -> str:
+        """Return the own address as ``ip:port``."""
+        return f"{self.host}:{self.port}"
+
+    @property
+    def counts(self) -> DatagramCounts:
+        """Return the counters."""
+        return DatagramCounts(self._sent, self._received, self._rejected)
+
+    def on_receive(self, callback: Callable[[str, bytes], None]) -> None:
+        """Set the callback for sender address and payload."""
+        self._callback = callback
+
+    async def start(self) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self.host, self.port)
+        )
+        self.port = self._transport.get_extra_info("sockname")[1]
+
+    async def stop(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+            await asyncio.sleep(0)
+
+    def send(self, address: str, payload: bytes) -> None:
+        """Send a payload; the first one to a peer waits for its boot time.
+
+        Parameters
+        ----------
+        address : str
+            Peer address as ``ip:port``.
+        payload : bytes
+            Content, at most 1,400 bytes.
+
+        Raises
+        ------
+        ProtocolError
+            If the content is too long.
+        """
+        boot = self._boots.get(address)
+        if boot is not None:
+            self._write(address, self._frames.seal(DATA, boot, payload))
+            return
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            raise ProtocolError("datagram is too long", "send fewer records")
+        if address not in self._pending and len(self._pending) >= MAX_PEERS:
+            self._pending.pop(next(iter(self._pending)))
+        waiting = self._pending.setdefault(address, [])
+        waiting.append(payload)
+        del waiting[:-MAX_PENDING]
+        self._say_hello(address)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Check a datagram and hand its payload on."""
+        address = f"{addr[0]}:{addr[1]}"
+        try:
+            frame = self._frames.open(data)
+        except GeraniumbendError as error:
+            self._rejected += 1
+            log_event(112, peer=address, error=str(error))
+            return
+        self._received += 1
+        self._accept(address, frame)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore ICMP errors; the failure detector notices dead peers."""
+
+    def _accept(self, address: str, frame: Frame) -> None:
+        if frame.receiver_boot != self._frames.boot:
+            if frame.type == HELLO_ANSWER:
+                self._raise_boot(frame)
+                return
+            known = self._frames.known_boot(frame.sender)
+            if known > frame.sender_boot:
+                # The sender's clock went back: tell it the boot time to exceed.
+                target = frame.sender.to_bytes(8, "big")
+                answer = self._frames.seal(HELLO_ANSWER, known, target)
+            else:
+                answer = self._frames.seal(HELLO_ANSWER, frame.sender_boot, b"")
+            if self._may_hello(f"answer to {address}"):
+                self._write(address, answer)
+            return
+        if self._boots.get(address) != frame.sender_boot:
+            if address not in self._boots and len(self._boots) >= MAX_PEERS:
+                self._boots.pop(next(iter(self._boots)))
+            self._boots[address] = frame.sender_boot
+        for payload in self._pending.pop(address, []):
+            self._write(address, self._frames.seal(DATA, frame.sender_boot, payload))
+        if frame.type == DATA:
+            self._callback(address, frame.payload)
+
+    def _raise_boot(self, frame: Frame) -> None:
+        named = frame.payload == self._frames.node.to_bytes(8, "big")
+        if named and frame.receiver_boot > self._frames.boot:
+            self._frames.raise_boot(frame.receiver_boot)
+            self._boots.clear()
+
+    def _say_hello(self, address: str) -> None:
+        if self._may_hello(address):
+            self._write(address, self._frames.seal(HELLO, 0, b""))
+
+    def _may_hello(self, address: str) -> bool:
+        now = time.monotonic()
+        if now - self._last_hello.get(address, -1.0) < HELLO_INTERVAL_S:
+            return False
+        if len(self._last_hello) >= MAX_PEERS:
+            self._last_hello.clear()
+        self._last_hello[address] = now
+        return True
+
+    def _write(self, address: str, datagram: bytes) -> None:
+        if self._transport is None:
+            return
+        host, _, port = address.rpartition(":")
+        try:
+            self._transport.sendto(datagram, (host, int(port)))
+        except (OSError, ValueError, OverflowError) as error:
+            # An address comes from a peer's record and may be malformed.
+            log_event(113, peer=address, error=str(error))
+            return
+        self._sent += 1
--- a/src/geraniumbend/membership/__init__.py
+++ b/src/geraniumbend/membership/__init__.py
@@ -1,1 +1,17 @@
-"""Gossip, failure detection and announcements."""
+"""Processes and backend servers of the cluster, and what they publish."""
+
+from __future__ import annotations
+
+from geraniumbend.membership._members import Member
+from geraniumbend.membership._membership import Membership, MembershipOptions
+from geraniumbend.membership._shares import Shares
+from geraniumbend.membership._values import Announcement, LoadReport
+
+__all__ = [
+    "Announcement",
+    "LoadReport",
+    "Member",
+    "Membership",
+    "MembershipOptions",
+    "Shares",
+]
--- /dev/null
+++ b/src/geraniumbend/membership/_records.py
@@ -0,0 +1,276 @@
+from __future__ import annotations
+
+import heapq
+import struct
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import xxhash
+
+from geraniumbend.errors import ProtocolError
+from geraniumbend.wire import load_structs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from geraniumbend.timers import TimerService
+
+    Identity = tuple[str, str, str]
+
+MEMBER = "member"
+SERVER = "server"
+LOAD = "load"
+DEMAND = "demand"
+# Superseded within seconds by their writers, so anti-entropy skips them.
+EPHEMERAL = frozenset({LOAD, DEMAND})
+LIVE, WITHDRAWN = 0, 1
+BUCKETS = 64
+MAX_TEXT = 512
+MAX_VALUE_BYTES = 16 * 1024
+# A removed record is remembered for longer than any lease or any datagram in flight
+# can last, so that a late copy of it is recognised as old.
+TOMBSTONE_S = 600.0
+MAX_LIFETIME_S = 7 * 24 * 3600.0
+
+
+class Record(NamedTuple):
+    """A versioned fact; the highest `order` of one identity wins.
+
+    Parameters
+    ----------
+    kind : str
+        ``member``, ``server``, or the kind of a published record.
+    owner : str
+        Node that publishes the record; empty for members and backend servers.
+    key : str
+        Name within kind and owner.
+    major : int
+        Incarnation.
+    minor : int
+        Version within the incarnation.
+    state : int
+        0 is live; the other values depend on the kind.
+    origin : str
+        Node that wrote this version.
+    value : bytes
+        Content.
+    lifetime_s : float
+        Remaining lifetime at the sender when it travelled, in seconds.
+    """
+
+    kind: str
+    owner: str
+    key: str
+    major: int
+    minor: int
+    state: int
+    origin: str
+    value: bytes
+    lifetime_s: float
+
+    @property
+    def identity(self) -> Identity:
+        """Return what the versions of one record share."""
+        return (self.kind, self.owner, self.key)
+
+    @property
+    def order(self) -> tuple[int, int, int, str]:
+        """Return the version; greater wins."""
+        return (self.major, self.minor, self.state, self.origin)
+
+
+class Entry:
+    """A record with its local deadline.
+
+    Parameters
+    ----------
+    record : Record
+        The record.
+    deadline : float or None
+        Local time of its expiry; None when something else keeps it alive.
+    """
+
+    __slots__ = ("deadline", "key_hash", "record", "version_hash")
+
+    def __init__(self, record: Record, deadline: float | None) -> None:
+        self.record = record
+        self.deadline = deadline
+        self.key_hash = xxhash.xxh64_intdigest("\0".join(record.identity).encode())
+        self.version_hash = xxhash.xxh64_intdigest(
+            repr(record.order).encode(), self.key_hash
+        )
+
+
+class RecordTable:
+    """Records of all kinds with digests for anti-entropy.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Clock.
+    """
+
+    def __init__(self, timers: TimerService) -> None:
+        self._timers = timers
+        self._entries: dict[Identity, Entry] = {}
+        self._kinds: dict[str, dict[Identity, Entry]] = {}
+        self._by_hash: dict[int, Identity] = {}
+        self._digests = [0] * BUCKETS
+        self._buckets: list[dict[int, Entry]] = [{} for _ in range(BUCKETS)]
+        self._expiries: list[tuple[float, Identity]] = []
+
+    def get(self, kind: str, owner: str, key: str) -> Entry | None:
+        """Return the entry of an identity, also a tombstone."""
+        return self._entries.get((kind, owner, key))
+
+    def by_hash(self, key_hash: int) -> Entry | None:
+        """Return the entry of a key hash."""
+        identity = self._by_hash.get(key_hash)
+        return None if identity is None else self._entries.get(identity)
+
+    def entries(self, kind: str) -> list[Entry]:
+        """Return the entries of one kind."""
+        return list(self._kinds.get(kind, {}).values())
+
+    def __len__(self) -> int:
+        """Return the number of records, tombstones included."""
+        return len(self._entries)
+
+    def put(self, record: Record, deadline: float | None) -> Entry:
+        """Store a record in place of the earlier version.
+
+        Parameters
+        ----------
+        record : Record
+            The record.
+        deadline : float or None
+            Local time of its expiry.
+
+        Returns
+        -------
+        Entry
+            The stored entry.
+        """
+        identity = record.identity
+        self._forget_digest(identity)
+        entry = Entry(record, deadline)
+        self._entries[identity] = entry
+        self._kinds.setdefault(record.kind, {})[identity] = entry
+        self._by_hash[entry.key_hash] = identity
+        if record.kind not in EPHEMERAL:
+            bucket = entry.key_hash % BUCKETS
+            self._digests[bucket] ^= entry.version_hash
+            self._buckets[bucket][entry.key_hash] = entry
+        self.set_deadline(entry, deadline)
+        return entry
+
+    def set_deadline(self, entry: Entry, deadline: float | None) -> None:
+        """Change the local expiry of an entry."""
+        entry.deadline = deadline
+        if deadline is not None:
+            heapq.heappush(self._expiries, (deadline, entry.record.identity))
+
+    def remove(self, identity: Identity) -> None:
+        """Forget a record without a trace."""
+        self._forget_digest(identity)
+        entry = self._entries.pop(identity, None)
+        if entry is not None:
+            self._kinds[entry.record.kind].pop(identity, None)
+            self._by_hash.pop(entry.key_hash, None)
+
+    def take_expired(self) -> list[Entry]:
+        """Return the entries whose deadline has passed; they stay stored."""
+        now = self._timers.now()
+        due: dict[Identity, Entry] = {}
+        while self._expiries and self._expiries[0][0] <= now:
+            _, identity = heapq.heappop(self._expiries)
+            entry = self._entries.get(identity)
+            if entry and entry.deadline is not None and entry.deadline <= now:
+                due[identity] = entry
+        return list(due.values())
+
+    def digests(self) -> bytes:
+        """Return one 64-bit digest a bucket."""
+        return struct.pack(f"!{BUCKETS}Q", *self._digests)
+
+    def differing(self, digests: bytes) -> list[int]:
+        """Return the buckets whose digest differs from another node's.
+
+        Raises
+        ------
+        ProtocolError
+            If the other node uses another number of buckets.
+        """
+        if len(digests) != 8 * BUCKETS:
+            raise ProtocolError(
+                f"digest of {len(digests)} bytes is not {8 * BUCKETS}",
+                "run compatible versions on all hosts",
+            )
+        other = struct.unpack(f"!{BUCKETS}Q", digests)
+        return [i for i in range(BUCKETS) if self._digests[i] != other[i]]
+
+    def bucket(self, index: int) -> dict[int, Entry]:
+        """Return the entries of a bucket by key hash."""
+        return self._buckets[index]
+
+    def _forget_digest(self, identity: Identity) -> None:
+        old = self._entries.get(identity)
+        if old is not None and old.record.kind not in EPHEMERAL:
+            bucket = old.key_hash % BUCKETS
+            self._digests[bucket] ^= old.version_hash
+            self._buckets[bucket].pop(old.key_hash, None)
+
+
+def pack_record(record: Record) -> Any:
+    """Return the thrift struct of a record."""
+    return load_structs("membership").RecordDelta(
+        kind=record.kind,
+        owner=record.owner,
+        key=record.key,
+        major=record.major,
+        minor=record.minor,
+        state=record.state,
+        origin=record.origin,
+        value=record.value,
+        lifetime_ms=int(record.lifetime_s * 1000),
+    )
+
+
+def unpack_record(delta: Any) -> Record:
+    """Check a thrift struct and return the record.
+
+    Raises
+    ------
+    ProtocolError
+        If a field is missing or out of range.
+    """
+    texts = (delta.kind, delta.owner, delta.key, delta.origin)
+    numbers = (delta.major, delta.minor, delta.state, delta.lifetime_ms)
+    valid = (
+        all(isinstance(text, str) and len(text) <= MAX_TEXT for text in texts)
+        and bool(delta.kind)
+        and all(isinstance(number, int) and number >= 0 for number in numbers)
+        and isinstance(delta.value, bytes)
+        and len(delta.value) <= MAX_VALUE_BYTES
+    )
+    if not valid:
+        raise ProtocolError(
+            "record of a peer has a missing or absurd field",
+            "run compatible versions on all hosts",
+        )
+    lifetime = min(delta.lifetime_ms / 1000, MAX_LIFETIME_S)
+    return Record(
+        delta.kind,
+        delta.owner,
+        delta.key,
+        delta.major,
+        delta.minor,
+        delta.state,
+        delta.origin,
+        delta.value,
+        lifetime,
+    )
+
+
+def unpack_records(deltas: Iterable[Any] | None) -> list[Record]:
+    """Return all records of a message; see `unpack_record`."""
+    return [unpack_record(delta) for delta in deltas or []]
--- /dev/null
+++ b/src/geraniumbend/membership/_values.py
@@ -0,0 +1,123 @@
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from geraniumbend.errors import ProtocolError
+from geraniumbend.membership._records import SERVER, Record
+from geraniumbend.model import BackendServer
+from geraniumbend.wire import decode, encode, load_structs
+
+LIVE, EXPIRED, DEREGISTERED = 0, 1, 2
+# Version of a deregistration; no later announcement of the incarnation exceeds it.
+FINAL_VERSION = 1 << 40
+MAX_LEASE_S = 60.0
+
+
+class Announcement(NamedTuple):
+    """What a backend server states about itself.
+
+    Parameters
+    ----------
+    server : BackendServer
+        Address, labels, limits, incarnation and draining.
+    in_flight : int, default=0
+        Requests that the server runs now.
+    lease_s : float, default=10.0
+        Time without an announcement after which the server counts as gone,
+        in seconds.
+    """
+
+    server: BackendServer
+    in_flight: int = 0
+    lease_s: float = 10.0
+
+
+class LoadReport(NamedTuple):
+    """Load of a backend server by its own announcement.
+
+    Parameters
+    ----------
+    in_flight : int
+        Requests that the server ran.
+    slots : int
+        Requests that it runs at the same time.
+    received_at : float
+        Local monotonic time of arrival at this node, in seconds.
+    """
+
+    in_flight: int
+    slots: int
+    received_at: float
+
+
+def encode_server(announcement: Announcement) -> bytes:
+    """Serialize the content of a backend server record."""
+    server = announcement.server
+    value = load_structs("membership").ServerValue(
+        host=server.host,
+        port=server.port,
+        failure_domain=server.failure_domain,
+        labels=dict(sorted(server.labels.items())),
+        slots=server.slots,
+        connection_limit=server.connection_limit,
+        draining=server.draining,
+        lease_ms=int(announcement.lease_s * 1000),
+    )
+    return encode(value)
+
+
+def decode_server(record: Record) -> Announcement:
+    """Deserialize the content of a backend server record.
+
+    Raises
+    ------
+    ProtocolError
+        If a field is missing or out of range.
+    """
+    value = decode(load_structs("membership").ServerValue, record.value)
+    labels = value.labels or {}
+    valid = (
+        isinstance(value.host, str)
+        and bool(value.host)
+        and isinstance(value.failure_domain, str)
+        and 0 < (value.port or 0) <= 65535
+        and (value.slots or 0) > 0
+        and (value.connection_limit or 0) > 0
+        and 0 < (value.lease_ms or 0) <= MAX_LEASE_S * 1000
+        and all(isinstance(t, str) for pair in labels.items() for t in pair)
+    )
+    if not valid:
+        raise ProtocolError(
+            f"record of backend server {record.key!r} has a malformed value",
+            "run compatible versions on all hosts",
+        )
+    server = BackendServer(
+        server_id=record.key,
+        host=value.host,
+        port=value.port,
+        failure_domain=value.failure_domain,
+        labels=labels,
+        slots=value.slots,
+        connection_limit=value.connection_limit,
+        incarnation=record.major,
+        draining=bool(value.draining),
+    )
+    return Announcement(server, 0, value.lease_ms / 1000)
+
+
+def server_record(
+    announcement: Announcement, minor: int, state: int, origin: str
+) -> Record:
+    """Return a version of a backend server record."""
+    server = announcement.server
+    return Record(
+        SERVER,
+        "",
+        server.server_id,
+        server.incarnation,
+        minor,
+        state,
+        origin,
+        encode_server(announcement),
+        announcement.lease_s,
+    )
--- a/src/geraniumbend/ports.py
+++ b/src/geraniumbend/ports.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 
 class RpcCaller(Protocol):
@@ -15,6 +18,31 @@
         ...
 
 
+class DatagramPort(Protocol):
+    """Sends and receives authenticated datagrams by peer address."""
+
+    @property
+    def address(self) -> str:
+        """Return the own address as ``ip:port``."""
+        ...
+
+    def on_receive(self, callback: Callable[[str, bytes], None]) -> None:
+        """Set the callback for sender address and payload."""
+        ...
+
+    def send(self, address: str, payload: bytes) -> None:
+        """Send a payload without confirmation; it may get lost."""
+        ...
+
+    async def start(self) -> None:
+        """Open the socket."""
+        ...
+
+    async def stop(self) -> None:
+        """Close the socket."""
+        ...
+
+
 class StateMachine(Protocol):
     """State that a replicated log drives; every method is deterministic."""
 
--- /dev/null
+++ b/src/geraniumbend/wire/membership.thrift
@@ -0,0 +1,76 @@
+namespace py geraniumbend.wire
+
+/** One versioned record; the highest (major, minor, state, origin) wins. */
+struct RecordDelta {
+  1: string kind = ""
+  2: string owner = ""
+  3: string key = ""
+  4: i64 major = 0
+  5: i64 minor = 0
+  6: i16 state = 0
+  7: string origin = ""
+  8: binary value = ""
+  9: i32 lifetime_ms = 0
+}
+
+/** One UDP datagram between processes. */
+struct GossipMessage {
+  1: i16 type = 0
+  2: i64 number = 0
+  3: string sender = ""
+  4: string target = ""
+  5: string target_address = ""
+  6: list<RecordDelta> records = []
+  7: string kind = ""
+  8: binary value = ""
+}
+
+/** Value of a member record. */
+struct MemberValue {
+  1: string role = ""
+  2: string address = ""
+  3: string failure_domain = ""
+}
+
+/** Value of a backend server record. */
+struct ServerValue {
+  1: string host = ""
+  2: i32 port = 0
+  3: string failure_domain = ""
+  4: map<string, string> labels = {}
+  5: i32 slots = 1
+  6: i32 connection_limit = 220
+  7: bool draining = false
+  8: i32 lease_ms = 10000
+}
+
+/** Value of a load record. */
+struct LoadValue {
+  1: i32 in_flight = 0
+  2: i32 slots = 1
+}
+
+/** Demand of one gateway, requests per second by group. */
+struct DemandValue {
+  1: map<string, double> rates = {}
+}
+
+/** Announces the caller and states the content of its records. */
+struct DigestRequest {
+  1: string sender = ""
+  2: binary digests = ""
+  3: list<RecordDelta> members = []
+}
+
+/** Pairs of key hash and version hash of the buckets that differ. */
+struct DigestResponse {
+  1: binary entries = ""
+  2: bool complete = true
+  3: list<i32> buckets = []
+}
+
+/** Records pushed and key hashes wanted in return. */
+struct ExchangeMessage {
+  1: list<RecordDelta> records = []
+  2: binary wanted = ""
+}
