--- a/src/geraniumbend/cli/__init__.py
+++ b/src/geraniumbend/cli/__init__.py
@@ -1,1 +1,8 @@
-"""Command line."""
+"""Command line; each command registers itself."""
+
+from __future__ import annotations
+
+from geraniumbend.cli._application import build_application, commands
+from geraniumbend.cli._processes import processes
+
+__all__ = ["build_application", "commands", "processes"]
