Match servers with the groups of their own labels only

Change: groups are filed by one label value that their selector requires. The slopes experiment measures memory, processor time and disk at three sizes with fits.

--- /dev/null
+++ b/bench/_slopes.py
@@ -0,0 +1,282 @@
+from __future__ import annotations
+
+import asyncio
+import gc
+import resource
+import tempfile
+import time
+import tracemalloc
+import uuid
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from bench._experiments import Options, experiments
+from bench._fits import fit_line
+from geraniumbend.adapters.rpc import RpcClients
+from geraniumbend.configuration import (
+    ConfigurationStore,
+    SetLabels,
+    apply_operations,
+    describe_operation,
+)
+from geraniumbend.keys import KeyRing
+from geraniumbend.model import BackendServer, Configuration, Group, Rule, RuleMatch
+from geraniumbend.replication import Replica
+from geraniumbend.routing import RequestFacts, Router, RuleTable, ServerTable
+from geraniumbend.settings import ControlSettings
+from geraniumbend.timers import LoopTimers
+from geraniumbend.wire import encode, load_structs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+TARGET_SERVERS = 15_000
+TARGET_SERVICES = 690
+TARGET_CHANGES_PER_DAY = 37_000
+SERVERS_PER_SERVICE = TARGET_SERVERS / TARGET_SERVICES
+SERVER_SIZES = (1_000, 4_000, 15_000)
+SERVICE_SIZES = (45, 180, 690)
+GROUP_SIZES = (15, 60, 240)
+CHANGE_COUNTS = (200, 400, 800)
+SHARD_COUNTS = (1, 4, 8)
+SHARD_SECONDS = 2.0
+RELABEL = (SetLabels("server-1", {"wave": "2"}),)
+
+
+class _Shares:
+    def gateway_share(self) -> float:
+        return 1 / 13
+
+
+def build_servers(count: int) -> dict[str, BackendServer]:
+    """Return announced servers, spread evenly over the services of the target."""
+    return {
+        f"server-{number}": BackendServer(
+            f"server-{number}",
+            "127.0.0.1",
+            1024 + number % 60_000,
+            f"domain-{number % 16}",
+            {"app": f"service-{number % max(1, round(count / SERVERS_PER_SERVICE))}"},
+            slots=6,
+        )
+        for number in range(count)
+    }
+
+
+def build_configuration(services: int) -> Configuration:
+    """Return one group and one rule for each service."""
+    groups = {
+        f"service-{number}": Group(f"service-{number}", f"app=service-{number}")
+        for number in range(services)
+    }
+    rules = {
+        f"rule-{number}": Rule(
+            f"rule-{number}",
+            f"service-{number}",
+            RuleMatch(path_prefix=f"/service-{number}/"),
+        )
+        for number in range(services)
+    }
+    return Configuration(1, groups, rules)
+
+
+def measure_bytes(build: Callable[[], Any]) -> int:
+    """Return the bytes that a freshly built value keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    value = build()
+    gc.collect()
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del value
+    return used
+
+
+def measure_cpu(run: Callable[[], Any], rounds: int) -> float:
+    """Return processor time of one call in microseconds."""
+    run()
+    started = time.process_time()
+    for _ in range(rounds):
+        run()
+    return (time.process_time() - started) / rounds * 1e6
+
+
+def describe_fit(
+    unit: str, sizes: Sequence[int], figures: Sequence[float], target: float
+) -> dict[str, Any]:
+    """Return points, line and the figure at the target size."""
+    fit = fit_line(sizes, figures)
+    return {
+        "unit": unit,
+        "sizes": list(sizes),
+        "figures": [round(figure, 3) for figure in figures],
+        "slope": round(fit.slope, 6),
+        "slope_error": round(fit.slope_error, 6),
+        "intercept": round(fit.intercept, 3),
+        "target": target,
+        "at_target": round(fit.predict(target), 3),
+    }
+
+
+@experiments.register("slopes")
+async def measure_slopes(options: Options) -> dict[str, Any]:
+    """Measure how state, processor time and disk grow with the size."""
+    result: dict[str, Any] = {}
+    result.update(_measure_server_table())
+    result.update(_measure_configuration())
+    result["choice_cpu"] = _measure_choice(options.seed)
+    result.update(await _measure_log())
+    result["idle_shard_cpu"] = await _measure_idle_shards()
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    result["peak_resident_mb"] = round(usage.ru_maxrss / 1024, 1)
+    return result
+
+
+def _measure_server_table() -> dict[str, Any]:
+    kept: list[float] = []
+    first: list[float] = []
+    single: list[float] = []
+    for count in SERVER_SIZES:
+        servers = build_servers(count)
+        configuration = build_configuration(round(count / SERVERS_PER_SERVICE))
+        timers = LoopTimers()
+
+        def build(
+            servers: dict[str, BackendServer] = servers,
+            configuration: Configuration = configuration,
+            timers: LoopTimers = timers,
+        ) -> ServerTable:
+            table = ServerTable(timers)
+            table.update(servers, configuration)
+            return table
+
+        first.append(measure_cpu(build, 1) / 1000)
+        kept.append(measure_bytes(build) / 1e6)
+        table = build()
+        single.append(
+            measure_cpu(partial(table.update, servers, configuration), 3) / 1000
+        )
+    return {
+        "server_table_memory": describe_fit("MB", SERVER_SIZES, kept, TARGET_SERVERS),
+        "server_table_build": describe_fit("ms", SERVER_SIZES, first, TARGET_SERVERS),
+        "server_table_update": describe_fit("ms", SERVER_SIZES, single, TARGET_SERVERS),
+    }
+
+
+def _measure_configuration() -> dict[str, Any]:
+    kept: list[float] = []
+    rebuild: list[float] = []
+    change: list[float] = []
+    match: list[float] = []
+    for services in SERVICE_SIZES:
+        configuration = build_configuration(services)
+        kept.append(measure_bytes(partial(build_configuration, services)) / 1e6)
+        rebuild.append(measure_cpu(partial(RuleTable, configuration), 5) / 1000)
+        change.append(
+            measure_cpu(partial(apply_operations, configuration, RELABEL, 2), 50)
+        )
+        table = RuleTable(configuration)
+        facts = RequestFacts("sheet.example", f"/service-{services - 1}/x", "GET", {})
+        match.append(measure_cpu(partial(table.find, facts), 5_000))
+    sizes = SERVICE_SIZES
+    return {
+        "configuration_memory": describe_fit("MB", sizes, kept, TARGET_SERVICES),
+        "rule_table_build": describe_fit("ms", sizes, rebuild, TARGET_SERVICES),
+        "change_apply_cpu": describe_fit("us", sizes, change, TARGET_SERVICES),
+        "rule_match_cpu": describe_fit("us", sizes, match, TARGET_SERVICES),
+    }
+
+
+def _measure_choice(seed: int) -> dict[str, Any]:
+    figures = []
+    for size in GROUP_SIZES:
+        servers = {
+            server.server_id: server._replace(labels={"app": "service-0"})
+            for server in build_servers(size).values()
+        }
+        timers = LoopTimers()
+        table = ServerTable(timers)
+        table.update(servers, build_configuration(1))
+        router = Router(table, _Shares(), timers, "gateway-0", "domain-0", seed)
+
+        def choose(router: Router = router) -> None:
+            router.choose("service-0", "short", (), 1.0)
+
+        figures.append(measure_cpu(choose, 2_000))
+    return describe_fit("us", GROUP_SIZES, figures, SERVERS_PER_SERVICE)
+
+
+class _Log:
+    """One single-voter configuration log in a temporary folder."""
+
+    def __init__(self, folder: str, shard: str = "config") -> None:
+        self.store = ConfigurationStore()
+        clients = RpcClients(KeyRing([(1, b"loopback-experiments")]))
+        self.replica = Replica(
+            shard,
+            "control-0",
+            folder,
+            {"control-0": "127.0.0.1:1"},
+            self.store,
+            clients,
+            LoopTimers(),
+            ControlSettings(),
+        )
+
+    async def start(self) -> None:
+        await self.replica.start()
+        while not self.replica.is_leader:
+            await asyncio.sleep(0.01)
+
+    async def change(self, revision: int) -> None:
+        structs = load_structs("configuration")
+        operation = SetLabels(f"server-{revision % 500}", {"wave": str(revision)})
+        operations = msgspec.json.encode([describe_operation(operation)])
+        command = structs.Change(
+            change_id=str(uuid.uuid4()),
+            expected_revision=revision,
+            operations=operations,
+            operator="bench",
+            time_ms=revision,
+        )
+        await self.replica.propose(encode(structs.Command(change=command)))
+
+
+async def _measure_log() -> dict[str, Any]:
+    seconds: list[float] = []
+    size: list[float] = []
+    for count in CHANGE_COUNTS:
+        with tempfile.TemporaryDirectory() as folder:
+            log = _Log(folder)
+            await log.start()
+            started = time.process_time()
+            for number in range(count):
+                await log.change(number)
+            seconds.append((time.process_time() - started) * 1000)
+            files = (path for path in Path(folder).rglob("*") if path.is_file())
+            size.append(sum(path.stat().st_size for path in files) / 1000)
+            await log.replica.stop()
+    target = TARGET_CHANGES_PER_DAY
+    return {
+        "log_change_cpu": describe_fit("ms", CHANGE_COUNTS, seconds, target),
+        "log_change_bytes": describe_fit("kB", CHANGE_COUNTS, size, target),
+    }
+
+
+async def _measure_idle_shards() -> dict[str, Any]:
+    figures = []
+    for count in SHARD_COUNTS:
+        with tempfile.TemporaryDirectory() as folder:
+            logs = [_Log(folder, f"orders-{number}") for number in range(count)]
+            for log in logs:
+                await log.start()
+            started = time.process_time()
+            await asyncio.sleep(SHARD_SECONDS)
+            used = time.process_time() - started
+            figures.append(used / SHARD_SECONDS * 100)
+            for log in logs:
+                await log.replica.stop()
+    return describe_fit("% of a core", SHARD_COUNTS, figures, 16)
--- a/src/geraniumbend/routing/_table.py
+++ b/src/geraniumbend/routing/_table.py
@@ -5,6 +5,7 @@
 
 from geraniumbend.routing._costs import RequestCosts
 from geraniumbend.routing._lanes import LaneTable
+from geraniumbend.routing._selector_index import SelectorIndex
 from geraniumbend.routing._selectors import Selector, parse_selector
 from geraniumbend.routing._views import ServerView
 
@@ -40,6 +41,7 @@
         self._first_update = math.inf
         self._views: dict[str, ServerView] = {}
         self._selectors: dict[str, tuple[str, Selector]] = {}
+        self._selector_index = SelectorIndex()
         self._members: dict[str, dict[str, ServerView]] = {}
         self._available: dict[str, list[ServerView]] = {}
         self._utilization: dict[str, tuple[float, float, float]] = {}
@@ -73,7 +75,7 @@
             override = configuration.label_overrides.get(server_id)
             server = _apply_override(announced, override)
             view, relabelled = self._update_view(server, now)
-            groups = self._selectors if relabelled else changed_groups
+            groups = self._find_groups(view) if relabelled else changed_groups
             self._match(view, groups)
         self._available = {
             group: [view for view in members.values() if not view.draining]
@@ -140,12 +142,15 @@
         changed: dict[str, object] = {}
         for name in self._selectors.keys() - configuration.groups.keys():
             del self._selectors[name]
+            self._selector_index.remove(name)
             for view in self._members.pop(name, {}).values():
                 view.groups = tuple(group for group in view.groups if group != name)
         for name, group in configuration.groups.items():
             known = self._selectors.get(name)
             if known is None or known[0] != group.selector:
-                self._selectors[name] = (group.selector, parse_selector(group.selector))
+                selector = parse_selector(group.selector)
+                self._selectors[name] = (group.selector, selector)
+                self._selector_index.add(name, selector)
                 self._members.setdefault(name, {})
                 changed[name] = None
         return changed
@@ -166,6 +171,10 @@
         view.server = server
         return view, relabelled
 
+    def _find_groups(self, view: ServerView) -> dict[str, None]:
+        known = {name: None for name in view.groups if name in self._selectors}
+        return known | self._selector_index.find_candidates(view.server.labels)
+
     def _match(self, view: ServerView, groups: Mapping[str, object]) -> None:
         if not groups:
             return
--- /dev/null
+++ b/tests/bench/test_fits.py
@@ -0,0 +1,16 @@
+from __future__ import annotations
+
+import unittest
+
+from bench._fits import fit_line
+
+
+class FitLineTest(unittest.TestCase):
+    def test_exact_line_has_no_error(self):
+        fit = fit_line([1, 2, 4], [5, 7, 11])
+        self.assertAlmostEqual(fit.slope, 2)
+        self.assertAlmostEqual(fit.predict(10), 23)
+        self.assertAlmostEqual(fit.slope_error, 0)
+
+    def test_scatter_shows_in_the_error(self):
+        self.assertGreater(fit_line([1, 2, 3], [1, 5, 3]).slope_error, 0.5)
