Keep one caller's flood from lowering the level of the others

A caller's excess counted in the demand of the group, so the others were refused too. A caller now counts up to a sixteenth of the capacity, and its rate is forgotten within 2 s, so the excess is recognised in the first second.

--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -24,7 +24,7 @@
 SWEEP_PERIOD_S = 0.05
 # One caller may offer this share of the capacity before its opens rank lower, and
 # hold this share of the queue before its requests rank last.
-CALLER_SHARE = 0.125
+CALLER_SHARE = 0.0625
 RETRY_AFTER_S = 2.0
 # Requests seen of a class before its cost is trusted for refusals.
 TRUSTED_COUNT = 10
--- a/src/geraniumbend/admission/_demand.py
+++ b/src/geraniumbend/admission/_demand.py
@@ -10,8 +10,10 @@
 # The long window is given up for the short one when the two differ by this many
 # standard deviations of the short one.
 CHANGE_DEVIATIONS = 4.0
-CALLER_MEMORY_S = 5.0
+CALLER_MEMORY_S = 2.0
 CALLER_ENTRIES = 4096
+# Requests at once that count in full, so that one open of an ordinary caller does.
+BURST_REQUESTS = 8
 
 
 class _Bin(NamedTuple):
@@ -109,7 +111,7 @@
         counted_s : float
             Part of the work that counts in the demand of the group, in seconds.
         """
-        depth_s = bound * LONG_BINS * BIN_S
+        depth_s = max(bound, BURST_REQUESTS * work_s)
         known = self._callers.get(caller)
         if known is None:
             if len(self._callers) >= CALLER_ENTRIES:
