--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -324,4 +324,7 @@
         refusing = level < 1 if not lane.refusing else level < 1.1
         if refusing != lane.refusing:
             lane.refusing = refusing
-            log_event(400 if refusing else 401, group=lane.group, long=lane.long)
+            if refusing:
+                log_event(400, group=lane.group, long=lane.long)
+            else:
+                log_event(401, group=lane.group, long=lane.long)
--- a/src/geraniumbend/retries/__init__.py
+++ b/src/geraniumbend/retries/__init__.py
@@ -1,1 +1,7 @@
-"""Retry budgets, hedging and deadlines."""
+"""Budget of retries and hedges."""
+
+from __future__ import annotations
+
+from geraniumbend.retries._budget import RetryBudget
+
+__all__ = ["RetryBudget"]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from geraniumbend.model import BackendServer, Configuration, Group
 from geraniumbend.timers import ManualTimers
 
@@ -43,3 +45,68 @@
 def build_configuration(selector="", policy="default", **groups):
     known = {"g": Group("g", selector, policy=policy), **groups}
     return Configuration(revision=1, groups=known)
+
+
+class FakeBus:
+    """Records and notices of several gateways in one process, without delay."""
+
+    def __init__(self):
+        self.nodes = {}
+        self.announced = {}
+        self.cut = set()
+
+    def join(self, name):
+        self.nodes[name] = FakeMembership(self, name)
+        return self.nodes[name]
+
+
+class FakeMembership:
+    """Membership of one gateway on a bus."""
+
+    def __init__(self, bus, name):
+        self.bus = bus
+        self.name = name
+        self.published = {}
+        self.callbacks = {}
+
+    def servers(self):
+        return self.bus.announced
+
+    def publish(self, kind, key, value, lifetime_s):
+        self.published.pop((kind, key), None)
+        if lifetime_s:
+            self.published[(kind, key)] = value
+        for node in self._reachable():
+            node.deliver(kind, self.name, key, value if lifetime_s else None)
+        return True
+
+    def records(self, kind):
+        return {
+            (node.name, key): value
+            for node in [self, *self._reachable()]
+            for (known, key), value in node.published.items()
+            if known == kind
+        }
+
+    def subscribe_records(self, kind, callback):
+        self.callbacks.setdefault(kind, []).append(callback)
+
+    async def notify_peers(self, kind, value, timeout_s):
+        await asyncio.sleep(0)
+        for node in self._reachable():
+            node.deliver(kind, self.name, "", value)
+        await asyncio.sleep(0)
+        return [node.name for node in self._reachable()]
+
+    def deliver(self, kind, node, key, value):
+        for callback in self.callbacks.get(kind, ()):
+            callback(node, key, value)
+
+    def _reachable(self):
+        if self.name in self.bus.cut:
+            return []
+        return [
+            node
+            for name, node in self.bus.nodes.items()
+            if name != self.name and name not in self.bus.cut
+        ]
--- /dev/null
+++ b/tests/retries/test_budget.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+import unittest
+
+from geraniumbend.retries import RetryBudget
+from tests.fakes import FakeBus, FakeShares, StepTimers
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def build(self, gateways):
+        self.timers = StepTimers()
+        bus = FakeBus()
+        shares = FakeShares(gateways)
+        return [
+            RetryBudget(f"n{index}", bus.join(f"n{index}"), shares, self.timers)
+            for index in range(gateways)
+        ]
+
+    def spend_all(self, budget):
+        return sum(budget.spend("g") for _ in range(1000))
+
+    def earn(self, budget, count):
+        for _ in range(count):
+            budget.earn("g")
+
+    def test_all_gateways_together_spend_a_tenth_of_their_successes(self):
+        budgets = self.build(5)
+        for index, budget in enumerate(budgets):
+            self.earn(budget, 400 * index)
+        self.timers.step(1.1)
+        for budget in budgets:
+            budget.earn("g")
+        self.timers.step(1.1)
+        total = sum(self.spend_all(budget) for budget in budgets)
+        self.assertLessEqual(total, 400)
+        self.assertGreater(total, 300)
+
+    def test_gateway_with_few_successes_uses_those_of_the_others(self):
+        rich, poor = self.build(2)
+        self.earn(rich, 1000)
+        self.timers.step(1.1)
+        rich.earn("g")
+        self.assertGreater(self.spend_all(poor), 10)
+
+    def test_total_failure_ends_retries_but_for_one_in_a_window(self):
+        (budget,) = self.build(1)
+        self.earn(budget, 500)
+        self.spend_all(budget)
+        self.timers.step(60)
+        self.assertEqual(self.spend_all(budget), 1)
+
+    def test_budgets_of_groups_are_separate(self):
+        (budget,) = self.build(1)
+        self.earn(budget, 500)
+        self.assertTrue(budget.spend("other"))
+        self.assertFalse(budget.spend("other"))
