--- a/tests/replication/fakes.py
+++ b/tests/replication/fakes.py
@@ -243,14 +243,35 @@
         self.commands = json.loads(data)
 
 
+class DriftingTimers:
+    """Clock of one node that runs faster or slower than the others."""
+
+    def __init__(self, timers, rate):
+        self._timers = timers
+        self._rate = rate
+
+    def now(self):
+        return self._timers.now() * self._rate
+
+    async def sleep(self, delay_s):
+        await self._timers.sleep(delay_s / self._rate)
+
+    def after(self, delay_s, callback):
+        return self._timers.after(delay_s / self._rate, callback)
+
+
 class Cluster:
     """Replicas of one log; node names double as addresses."""
 
-    def __init__(self, count, seed=1, latency_s=0.0):
+    def __init__(self, count, seed=1, latency_s=0.0, drift=0.0):
         self.rng = random.Random(seed)
         self.timers = ManualTimers()
         self.network = MemoryNetwork(self.timers, self.rng, latency_s)
         self.voters = {f"n{number}": f"n{number}" for number in range(1, count + 1)}
+        self.clocks = {
+            name: DriftingTimers(self.timers, 1 + self.rng.uniform(-drift, drift))
+            for name in self.voters
+        }
         self.disks = {}
         self.replicas = {}
         self.machines = {}
@@ -270,7 +291,7 @@
                 self.voters,
                 machine,
                 MemoryClients(self.network, name),
-                self.timers,
+                self.clocks.setdefault(name, self.timers),
                 ControlSettings(),
                 disk=disk,
                 rng=random.Random(self.rng.random()),
