--- a/src/geraniumbend/replication/_core.py
+++ b/src/geraniumbend/replication/_core.py
@@ -24,6 +24,8 @@
     from geraniumbend.timers import TimerService
 
 MESSAGE_VERSION = 1
+# Election timeouts that a proposal or a read waits for its entry.
+PATIENCE_TIMEOUTS = 10
 COMPACT_ENTRIES = 1_000
 COMPACT_BYTES = 4 * 1024 * 1024
 # Entries kept in memory behind a snapshot, so that a follower that is slightly
@@ -257,13 +259,36 @@
         self._wake_readers()
 
     async def wait_applied(self, index: int) -> None:
-        """Wait until the state machine has applied an entry."""
+        """Wait until the state machine has applied an entry.
+
+        Raises
+        ------
+        UnavailableError
+            If that takes ten election timeouts or the replica stops.
+        """
         if self.failure is not None:
             raise self.failure
-        if index > self.applied_index:
-            future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            self._readers.append((index, future))
+        if index <= self.applied_index:
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._readers.append((index, future))
+
+        def expire() -> None:
+            if not future.done():
+                future.set_exception(
+                    UnavailableError(
+                        f"{self.node} did not reach entry {index} of log {self.shard} "
+                        "in time",
+                        "try another control host",
+                    )
+                )
+
+        limit = PATIENCE_TIMEOUTS * self.election_timeout_s
+        timer = self.timers.after(limit, expire)
+        try:
             await future
+        finally:
+            timer.cancel()
 
     def current_snapshot(self) -> Snapshot:
         """Return the state after the last applied entry."""
@@ -274,8 +299,14 @@
         return Snapshot(index, term, members, self.machine.snapshot())
 
     async def stop(self) -> None:
-        """Fail open proposals and wait for running writes."""
+        """Fail open proposals and reads and wait for running writes."""
         self.step_down()
+        readers, self._readers = self._readers, []
+        for _, future in readers:
+            if not future.done():
+                future.set_exception(
+                    UnavailableError(f"{self.node} stops", "try another control host")
+                )
         if self._compaction is not None:
             await asyncio.gather(self._compaction, return_exceptions=True)
         await self.storage.close()
--- a/src/geraniumbend/replication/_leading.py
+++ b/src/geraniumbend/replication/_leading.py
@@ -10,7 +10,7 @@
     UnavailableError,
 )
 from geraniumbend.logs import log_event
-from geraniumbend.replication._core import Outcome
+from geraniumbend.replication._core import PATIENCE_TIMEOUTS, Outcome
 from geraniumbend.replication._entries import COMMAND, MEMBERS, OPENING, Entry
 from geraniumbend.replication._members import MemberSet, encode_members
 from geraniumbend.replication._messages import build_request, call_peer
@@ -28,8 +28,6 @@
 LEASE_SHARE = 0.6
 # A command with its head must fit into one frame of 8 MiB.
 MAX_COMMAND_BYTES = 4 * 1024 * 1024
-# Election timeouts that a proposal waits for its commit.
-PROPOSAL_TIMEOUTS = 10
 
 
 class Leading:
@@ -231,7 +229,7 @@
                     )
                 )
 
-        limit = PROPOSAL_TIMEOUTS * core.election_timeout_s
+        limit = PATIENCE_TIMEOUTS * core.election_timeout_s
         timer = core.timers.after(limit, expire)
         try:
             return await future
