--- /dev/null
+++ b/src/geraniumbend/membership/_announcements.py
@@ -0,0 +1,282 @@
+from __future__ import annotations
+
+import ipaddress
+from typing import TYPE_CHECKING, Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from geraniumbend.errors import (
+    AuthenticationError,
+    ConflictError,
+    GeraniumbendError,
+    ProtocolError,
+)
+from geraniumbend.membership._values import MAX_LEASE_S, Announcement
+from geraniumbend.model import BackendServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from geraniumbend.membership._membership import Membership
+
+PREFIX = "/v1/backend-servers"
+RENEWALS_PER_LEASE = 3
+MAX_LABELS = 32
+MAX_BODY_BYTES = 8_192
+
+Name = Annotated[str, Meta(min_length=1, max_length=120)]
+# One record with its labels has to fit into a datagram.
+LabelText = Annotated[str, Meta(max_length=63)]
+
+
+class AnnouncementBody(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Body of ``PUT /v1/backend-servers/{server_id}``."""
+
+    host: Annotated[str, Meta(max_length=45)]
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    incarnation: Annotated[int, Meta(ge=1, lt=1 << 62)]
+    failure_domain: LabelText = ""
+    labels: Annotated[dict[LabelText, LabelText], Meta(max_length=MAX_LABELS)] = (
+        msgspec.field(default_factory=dict)
+    )
+    slots: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
+    connection_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 220
+    in_flight: Annotated[int, Meta(ge=0, le=1_000_000)] = 0
+    draining: bool = False
+    lease_s: Annotated[float, Meta(ge=1, le=MAX_LEASE_S)] = 10.0
+
+
+class AnnouncementApi:
+    """Requests of backend servers to the announce listener.
+
+    Parameters
+    ----------
+    membership : Membership
+        Takes the announcements.
+    authorize : callable or None, default=None
+        Takes the ``Authorization`` header or None; raises AuthenticationError.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        authorize: Callable[[str | None], None] | None = None,
+    ) -> None:
+        self._membership = membership
+        self._authorize = authorize
+
+    def handle(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        query: Mapping[str, str] | None = None,
+        authorization: str | None = None,
+    ) -> tuple[int, dict[str, Any]]:
+        """Answer one request.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        path : str
+            Decoded path without the query.
+        body : bytes, default=b""
+            Body of the request.
+        query : mapping or None, default=None
+            Query parameters.
+        authorization : str or None, default=None
+            ``Authorization`` header.
+
+        Returns
+        -------
+        tuple of (int, dict)
+            HTTP status and JSON document; errors have the members ``error``,
+            ``message`` and ``remedy``.
+        """
+        try:
+            if self._authorize is not None:
+                self._authorize(authorization)
+            return self._dispatch(method, path, body, query or {})
+        except AuthenticationError as error:
+            return 401, _describe(error)
+        except GeraniumbendError as error:
+            return error.http_status, _describe(error)
+
+    def _dispatch(
+        self, method: str, path: str, body: bytes, query: Mapping[str, str]
+    ) -> tuple[int, dict[str, Any]]:
+        rest = path.removeprefix(PREFIX)
+        if rest == path or (rest and not rest.startswith("/")):
+            return 404, _not_found(path)
+        server_id = rest[1:]
+        if not server_id:
+            if method == "GET":
+                return 200, self.list_servers()
+            return 405, _not_allowed(method, "GET")
+        if method == "PUT":
+            return self.announce(server_id, body)
+        if method == "DELETE":
+            return self.depart(server_id, query.get("incarnation", ""))
+        return 405, _not_allowed(method, "PUT or DELETE")
+
+    def announce(self, server_id: str, body: bytes) -> tuple[int, dict[str, Any]]:
+        """Take an announcement.
+
+        Parameters
+        ----------
+        server_id : str
+            Name of the backend server, up to 120 characters without ``/``.
+        body : bytes
+            JSON document; see `AnnouncementBody`.
+
+        Returns
+        -------
+        tuple of (int, dict)
+            Status and document.
+
+        Raises
+        ------
+        ProtocolError
+            If name or document is invalid.
+        ConflictError
+            If the incarnation is too low.
+        """
+        _check_id(server_id)
+        document = _decode(body)
+        server = BackendServer(
+            server_id=server_id,
+            host=document.host,
+            port=document.port,
+            failure_domain=document.failure_domain,
+            labels=document.labels,
+            slots=document.slots,
+            connection_limit=document.connection_limit,
+            incarnation=document.incarnation,
+            draining=document.draining,
+        )
+        changed = self._membership.announce(
+            Announcement(server, document.in_flight, document.lease_s)
+        )
+        return 200, {
+            "server_id": server_id,
+            "incarnation": server.incarnation,
+            "changed": changed,
+            "lease_s": document.lease_s,
+            "renew_after_s": document.lease_s / RENEWALS_PER_LEASE,
+        }
+
+    def depart(self, server_id: str, incarnation: str) -> tuple[int, dict[str, Any]]:
+        """Deregister a backend server.
+
+        Parameters
+        ----------
+        server_id : str
+            Name of the backend server.
+        incarnation : str
+            Incarnation that leaves, empty for the known one.
+
+        Returns
+        -------
+        tuple of (int, dict)
+            Status and document.
+
+        Raises
+        ------
+        ProtocolError
+            If name or incarnation is invalid.
+        ConflictError
+            If a newer incarnation is known.
+        """
+        _check_id(server_id)
+        if incarnation and not (incarnation.isascii() and incarnation.isdigit()):
+            raise ProtocolError(
+                f"incarnation {incarnation[:40]!r} is no number",
+                "send the incarnation that was announced, or none",
+            )
+        number = int(incarnation[:20] or 0)
+        if number >= 1 << 62:
+            raise ProtocolError("incarnation is too large", "use less than 2**62")
+        if self._membership.depart(server_id, number):
+            return 200, {"server_id": server_id, "deregistered": True}
+        return 404, {
+            "error": "UnknownServer",
+            "message": f"backend server {server_id!r} is not known to this gateway",
+            "remedy": "repeat with ?incarnation=N, which deregisters it also then",
+        }
+
+    def list_servers(self) -> dict[str, Any]:
+        """Return all backend servers and their last announced load."""
+        loads = self._membership.loads()
+        found = []
+        for server_id, server in sorted(self._membership.servers().items()):
+            document = server._asdict()
+            load = loads.get(server_id)
+            document["in_flight"] = None if load is None else load.in_flight
+            found.append(document)
+        return {"servers": found}
+
+
+def _decode(body: bytes) -> AnnouncementBody:
+    if len(body) > MAX_BODY_BYTES:
+        raise ProtocolError(
+            f"announcement of {len(body)} bytes exceeds {MAX_BODY_BYTES}",
+            "send fewer or shorter labels",
+        )
+    try:
+        document = msgspec.json.decode(body, type=AnnouncementBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ProtocolError(
+            f"announcement is invalid: {error}",
+            "correct the document; docs/reference/announcements.md lists its members",
+        ) from error
+    try:
+        ipaddress.ip_address(document.host)
+    except ValueError as error:
+        raise ProtocolError(
+            f"host {document.host!r} is no IP address",
+            "announce the address that gateways connect to",
+        ) from error
+    size = sum(len(k.encode()) + len(v.encode()) for k, v in document.labels.items())
+    if size > 700:
+        raise ProtocolError(
+            f"labels have {size} bytes, more than 700", "announce fewer labels"
+        )
+    return document
+
+
+def _check_id(server_id: str) -> None:
+    printable = server_id.isprintable() and "/" not in server_id
+    if not printable or not 0 < len(server_id.encode("utf-8", "replace")) <= 120:
+        raise ProtocolError(
+            "the backend server's name is empty, too long or not printable",
+            "use up to 120 bytes without a slash",
+        )
+
+
+def _describe(error: GeraniumbendError) -> dict[str, Any]:
+    document: dict[str, Any] = {
+        "error": type(error).__name__,
+        "message": error.message,
+        "remedy": error.remedy,
+    }
+    if isinstance(error, ConflictError):
+        document["known_incarnation"] = error.current_revision
+    return document
+
+
+def _not_found(path: str) -> dict[str, Any]:
+    return {
+        "error": "NotFound",
+        "message": f"path {path[:100]!r} is not served here",
+        "remedy": f"use {PREFIX}/{{server_id}}",
+    }
+
+
+def _not_allowed(method: str, allowed: str) -> dict[str, Any]:
+    return {
+        "error": "MethodNotAllowed",
+        "message": f"method {method[:20]!r} is not allowed here",
+        "remedy": f"use {allowed}",
+    }
--- a/src/geraniumbend/membership/_servers.py
+++ b/src/geraniumbend/membership/_servers.py
@@ -147,6 +147,7 @@
                     f"backend server {server_id!r} runs incarnation "
                     f"{entry.record.major}, newer than {incarnation}",
                     "deregister the newer incarnation, or leave it running",
+                    entry.record.major,
                 )
         major = incarnation or (entry.record.major if entry else 0)
         origin = self._members.name
