--- a/src/geraniumbend/adapters/_rpc_client.py
+++ b/src/geraniumbend/adapters/_rpc_client.py
@@ -13,8 +13,10 @@
     from geraniumbend.keys import KeyRing
 
 CONNECT_TIMEOUT_S = 1.0
-# A connection on which a call timed out is closed: something between the two ends
-# may have lost track of it while new connections work.
+# A connection that delivered nothing during a call of at least this length is not
+# used for new calls: something between the two ends may have lost track of it while
+# new connections work.
+SILENCE_S = 0.2
 KIND_BY_NAME = {
     name: kind
     for name, kind in vars(errors).items()
@@ -22,6 +24,39 @@
 }
 
 
+class _Connection:
+    """One connection with its open calls."""
+
+    def __init__(self, channel: FrameChannel) -> None:
+        self.channel = channel
+        self.waiting: dict[int, asyncio.Future[Any]] = {}
+        self.received = 0
+        self.retired = False
+        self.closed = False
+        self.reading = asyncio.ensure_future(self._read())
+
+    def close(self, error: Exception) -> None:
+        self.retired = self.closed = True
+        self.channel.close()
+        if self.reading is not asyncio.current_task():
+            self.reading.cancel()
+        for future in list(self.waiting.values()):
+            if not future.done():
+                future.set_exception(error)
+
+    async def _read(self) -> None:
+        structs = load_structs()
+        try:
+            while True:
+                response = decode(structs.RpcMessage, await self.channel.receive())
+                self.received += 1
+                future = self.waiting.get(response.call_id)
+                if future is not None and not future.done():
+                    future.set_result(response)
+        except (OSError, asyncio.IncompleteReadError, GeraniumbendError) as error:
+            self.close(ConnectionError(f"connection lost: {error}"))
+
+
 class RpcClient:
     """Calls one other process; concurrent calls share one connection.
 
@@ -37,9 +72,8 @@
         self.address = address
         self._keys = keys
         self._call_ids = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future[Any]] = {}
-        self._channel: FrameChannel | None = None
-        self._reading: asyncio.Task[None] | None = None
+        self._connection: _Connection | None = None
+        self._retired: set[_Connection] = set()
         self._connecting = asyncio.Lock()
 
     async def call(self, method: str, body: bytes, timeout_s: float) -> bytes:
@@ -67,14 +101,20 @@
         GeraniumbendError
             The typed error that the peer's handler raised.
         """
+        used: list[tuple[_Connection, int]] = []
         try:
-            response = await asyncio.wait_for(self._exchange(method, body), timeout_s)
+            response = await asyncio.wait_for(
+                self._exchange(method, body, used), timeout_s
+            )
         except TimeoutError as error:
+            for connection, received in used:
+                if connection.received == received and timeout_s >= SILENCE_S:
+                    self._retire(connection)
             raise UnavailableError(
                 f"{method} at {self.address} got no answer in {timeout_s:.3g} s",
                 "check that the peer runs and can be reached",
             ) from error
-        except (OSError, asyncio.IncompleteReadError) as error:
+        except (OSError, ValueError, asyncio.IncompleteReadError) as error:
             raise UnavailableError(
                 f"{method} at {self.address} failed: {error}",
                 "check that the peer runs and can be reached",
@@ -84,28 +124,50 @@
         return response.body
 
     async def close(self) -> None:
-        """Close the connection and fail the open calls."""
-        self._drop(ConnectionError("client closed"))
-
-    async def _exchange(self, method: str, body: bytes) -> Any:
-        channel = await self._connect()
+        """Close the connections and fail the open calls."""
+        connections = [*self._retired]
+        if self._connection is not None:
+            connections.append(self._connection)
+        self._connection = None
+        self._retired.clear()
+        for connection in connections:
+            connection.close(ConnectionError("client closed"))
+
+    async def _exchange(
+        self, method: str, body: bytes, used: list[tuple[_Connection, int]]
+    ) -> Any:
+        connection = await self._connect()
+        used.append((connection, connection.received))
         call_id = next(self._call_ids)
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        self._waiting[call_id] = future
+        connection.waiting[call_id] = future
         try:
             message = load_structs().RpcMessage(
                 call_id=call_id, method=method, body=body
             )
-            channel.send(encode(message))
-            await channel.drain()
+            connection.channel.send(encode(message))
+            await connection.channel.drain()
             return await future
         finally:
-            self._waiting.pop(call_id, None)
-
-    async def _connect(self) -> FrameChannel:
+            connection.waiting.pop(call_id, None)
+            if connection.retired and not connection.waiting:
+                self._retired.discard(connection)
+                connection.close(ConnectionError("connection retired"))
+
+    def _retire(self, connection: _Connection) -> None:
+        """Use another connection for new calls; open calls may still finish."""
+        if self._connection is connection:
+            self._connection = None
+        connection.retired = True
+        if connection.waiting:
+            self._retired.add(connection)
+        else:
+            connection.close(ConnectionError("connection retired"))
+
+    async def _connect(self) -> _Connection:
         async with self._connecting:
-            if self._channel is not None:
-                return self._channel
+            if self._connection is not None and not self._connection.retired:
+                return self._connection
             host, _, port = self.address.rpartition(":")
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(host, int(port), limit=1024 * 1024),
@@ -117,32 +179,8 @@
             except BaseException:
                 channel.close()
                 raise
-            self._channel = channel
-            self._reading = asyncio.ensure_future(self._read(channel))
-            return channel
-
-    async def _read(self, channel: FrameChannel) -> None:
-        structs = load_structs()
-        try:
-            while True:
-                response = decode(structs.RpcMessage, await channel.receive())
-                future = self._waiting.get(response.call_id)
-                if future is not None and not future.done():
-                    future.set_result(response)
-        except (OSError, asyncio.IncompleteReadError, GeraniumbendError) as error:
-            if self._channel is channel:
-                self._drop(ConnectionError(f"connection lost: {error}"))
-
-    def _drop(self, error: Exception) -> None:
-        if self._channel is not None:
-            self._channel.close()
-            self._channel = None
-        if self._reading is not None and self._reading is not asyncio.current_task():
-            self._reading.cancel()
-        self._reading = None
-        for future in list(self._waiting.values()):
-            if not future.done():
-                future.set_exception(error)
+            self._connection = _Connection(channel)
+            return self._connection
 
 
 class RpcClients:
--- a/tests/adapters/test_rpc.py
+++ b/tests/adapters/test_rpc.py
@@ -51,6 +51,36 @@
             await self.client.call("hang", b"", 0.05)
         self.assertEqual(await self.client.call("echo", b"x", 2), b"x")
 
+    async def test_calls_leave_a_connection_that_became_silent(self):
+        relay, silence = await self._relay_that_can_fall_silent()
+        address = f"127.0.0.1:{relay.sockets[0].getsockname()[1]}"
+        client = RpcClient(address, KeyRing([(1, SECRET)]))
+        self.assertEqual(await client.call("echo", b"a", 2), b"a")
+        silence.set()
+        with self.assertRaises(UnavailableError):
+            await client.call("echo", b"b", 0.3)
+        self.assertEqual(await client.call("echo", b"c", 2), b"c")
+        await client.close()
+        relay.close()
+
+    async def _relay_that_can_fall_silent(self):
+        """Copy bytes; connections open when the event is set go silent."""
+        silence = asyncio.Event()
+
+        async def relay(reader, writer):
+            silent = not silence.is_set()
+            server = await asyncio.open_connection("127.0.0.1", self.server.port)
+
+            async def copy(source, sink):
+                while data := await source.read(4096):
+                    if not (silent and silence.is_set()):
+                        sink.write(data)
+                sink.close()
+
+            await asyncio.gather(copy(reader, server[1]), copy(server[0], writer))
+
+        return await asyncio.start_server(relay, "127.0.0.1", 0), silence
+
     async def test_frame_signed_with_another_key_is_rejected_and_counted(self):
         stranger = RpcClient(self.address, KeyRing([(1, b"another-secret-16")]))
         with self.assertRaises(UnavailableError):
