--- a/src/geraniumbend/certificates.py
+++ b/src/geraniumbend/certificates.py
@@ -67,7 +67,7 @@
         Subscription
             Ends the checks when cancelled.
         """
-        return timers.every(RELOAD_PERIOD_S, self.reload_if_changed)
+        return timers.every(RELOAD_PERIOD_S, self._check)
 
     def reload_if_changed(self) -> bool:
         """Use the files again when they changed.
@@ -92,6 +92,9 @@
         log_event(120, certificate=self._settings.certificate)
         return True
 
+    def _check(self) -> None:
+        self.reload_if_changed()
+
     def _check_settings(self) -> None:
         if self._server and not (self._settings.certificate and self._settings.key):
             raise SettingsError(
