--- /dev/null
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -0,0 +1,299 @@
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from aiohttp.http import HttpVersion10, HttpVersion11
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.web_protocol import RequestPayloadError
+
+from geraniumbend.errors import RefusedError
+from geraniumbend.proxying import (
+    CallerLostError,
+    describe_refusal,
+    describe_status,
+    list_refusal_lines,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+    from geraniumbend.adapters._caller_protocol import CallerProtocol
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+BODILESS_STATUSES = (204, 304)
+
+
+class HttpCallerRequest:
+    """A caller's request and the way to answer it.
+
+    Parameters
+    ----------
+    protocol : CallerProtocol
+        Connection.
+    message : aiohttp.http.RawRequestMessage
+        Parsed head.
+    payload : aiohttp.StreamReader
+        Body.
+    """
+
+    __slots__ = (
+        "_chunked",
+        "_continue_due",
+        "_head",
+        "_message",
+        "_payload",
+        "_protocol",
+        "_remaining",
+        "answer_started",
+        "body_length",
+        "has_body",
+        "headers",
+        "keep_alive",
+        "method",
+        "path",
+        "raw_headers",
+        "remote",
+        "request_id",
+        "scheme",
+        "target",
+    )
+
+    def __init__(self, protocol: CallerProtocol, message: Any, payload: Any) -> None:
+        self._protocol = protocol
+        self._message = message
+        self._payload = payload
+        self._head = b""
+        self._chunked = False
+        self._remaining: int | None = None
+        self.method: str = message.method
+        self.target: str = message.path
+        self.path: str = self.target.partition("?")[0]
+        self.headers: Mapping[str, str] = message.headers
+        self.raw_headers: Sequence[tuple[bytes, bytes]] = message.raw_headers
+        self.request_id = ""
+        self.answer_started = False
+        peer = protocol.peername
+        self.remote: str = peer[0] if isinstance(peer, tuple) else ""
+        self.scheme = "http" if protocol.ssl_context is None else "https"
+        length = message.headers.get("Content-Length")
+        self.body_length: int | None = None
+        if not message.chunked:
+            self.body_length = int(length) if length and length.isdecimal() else 0
+        self.has_body = message.chunked or bool(self.body_length)
+        self._continue_due = self.has_body and "Expect" in message.headers
+        self.keep_alive: bool = not (
+            message.should_close or message.upgrade or protocol.server.draining
+        )
+
+    def check(self) -> None:
+        """Refuse what the parser accepts and a gateway must not forward.
+
+        Raises
+        ------
+        RefusedError
+            With a status from 400 to 431; the request was not run.
+        """
+        message = self._message
+        size = 0
+        for name, value in self.raw_headers:
+            size += len(name) + len(value) + 4
+        if size > self._protocol.server.limits.header_limit_bytes:
+            raise _refuse(431, "header fields exceed the limit")
+        if message.version not in (HttpVersion10, HttpVersion11):
+            raise _refuse(505, "HTTP version is not supported")
+        if message.version == HttpVersion10 and "Transfer-Encoding" in self.headers:
+            raise _refuse(400, "HTTP/1.0 has no Transfer-Encoding")
+        if message.chunked and "Content-Length" in self.headers:
+            raise _refuse(400, "Content-Length together with Transfer-Encoding")
+        hosts = message.headers.getall("Host", ())
+        if len(hosts) > 1 or (not hosts and message.version == HttpVersion11):
+            raise _refuse(400, "exactly one Host field is required")
+        expect = self.headers.get("Expect")
+        if expect is not None and expect.lower() != "100-continue":
+            raise _refuse(417, "only 100-continue can be expected")
+        self._check_target()
+
+    async def read_body(self) -> bytes:
+        """Return the next bytes of the body, empty at the end.
+
+        Returns
+        -------
+        bytes
+            Decoded from chunked coding, otherwise as sent.
+
+        Raises
+        ------
+        RefusedError
+            If the body is malformed (400) or makes no progress (408).
+        CallerLostError
+            If the caller went away.
+        """
+        payload = self._payload
+        try:
+            if data := payload.read_nowait():
+                return bytes(data)
+            if payload.is_eof():
+                return b""
+            if self._continue_due:
+                self._continue_due = False
+                self._write(CONTINUE)
+            async with asyncio.timeout(
+                self._protocol.server.limits.body_idle_timeout_s
+            ):
+                return bytes(await payload.readany())
+        except TimeoutError as error:
+            raise _refuse(408, "the body made no progress") from error
+        except (RequestPayloadError, HttpProcessingError) as error:
+            raise _refuse(400, f"the body is malformed: {error}") from error
+        except (ConnectionError, aiohttp.ClientError) as error:
+            raise CallerLostError("caller went away") from error
+
+    async def start_answer(
+        self, status: int, reason: str, lines: Iterable[bytes], length: int | None
+    ) -> None:
+        """Prepare the head of the answer; it is written with the first bytes.
+
+        Parameters
+        ----------
+        status : int
+            Status code.
+        reason : str
+            Reason phrase.
+        lines : iterable of bytes
+            Header lines with their line ends, without framing fields.
+        length : int or None
+            Length of the body, None when unknown.
+        """
+        bodiless = self.method == "HEAD" or status in BODILESS_STATUSES
+        framing = b""
+        if length is not None:
+            if status != 204:
+                framing = b"Content-Length: %d\r\n" % length
+        elif not bodiless:
+            if self._message.version == HttpVersion11:
+                self._chunked = True
+                framing = b"Transfer-Encoding: chunked\r\n"
+            else:
+                self.keep_alive = False
+        self._remaining = 0 if bodiless else length
+        if not self.keep_alive or self._protocol.server.draining:
+            self.keep_alive = False
+            framing += b"Connection: close\r\n"
+        elif self._message.version == HttpVersion10:
+            framing += b"Connection: keep-alive\r\n"
+        phrase = reason.encode("latin-1", "replace")
+        start = b"HTTP/1.1 %d %b\r\n" % (status, phrase)
+        self._head = b"".join((start, *lines, framing, b"\r\n"))
+        self.answer_started = True
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes of the body, with the head if it is still due.
+
+        Raises
+        ------
+        CallerLostError
+            If the caller went away or reads too slowly.
+        """
+        if framed := self._frame(data):
+            self._write(framed)
+        protocol = self._protocol
+        if protocol.writing_paused:
+            try:
+                async with asyncio.timeout(protocol.server.limits.body_idle_timeout_s):
+                    await protocol._drain_helper()
+            except TimeoutError as error:
+                raise CallerLostError("caller reads too slowly") from error
+            except (ConnectionError, aiohttp.ClientError) as error:
+                raise CallerLostError("caller went away") from error
+
+    def finish_answer(self, data: bytes = b"") -> None:
+        """Write the last bytes of the body and its end.
+
+        Raises
+        ------
+        CallerLostError
+            If the caller went away.
+        """
+        end = b"0\r\n\r\n" if self._chunked else b""
+        last = self._frame(data) + end
+        if last:
+            self._write(last)
+        if self._remaining:
+            raise CallerLostError("answer is shorter than its length")
+
+    def refuse(self, error: RefusedError) -> None:
+        """Answer with a problem document."""
+        document = describe_refusal(error, self.request_id)
+        lines = list_refusal_lines(error, self.request_id)
+        if not self._payload.is_eof():
+            self.keep_alive = False
+        framing = b"Content-Length: %d\r\n" % len(document)
+        if not self.keep_alive:
+            framing += b"Connection: close\r\n"
+        start = b"HTTP/1.1 %d %b\r\n" % (
+            error.status,
+            describe_status(error.status).encode(),
+        )
+        if self.method == "HEAD":
+            document = b""
+        self.answer_started = True
+        self._write(b"".join((start, *lines, framing, b"\r\n", document)))
+
+    def abort(self) -> None:
+        """Reset the caller's connection so that the answer looks truncated."""
+        self.keep_alive = False
+        transport = self._protocol.transport
+        if transport is None:
+            return
+        plain = transport.get_extra_info("socket")
+        if plain is not None:
+            # Without a reset, HTTP/1.0 callers take the end of the connection for
+            # the end of the body.
+            plain.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        transport.abort()
+        self._protocol.force_close()
+
+    def _frame(self, data: bytes) -> bytes:
+        head, self._head = self._head, b""
+        if not data:
+            return head
+        if self._remaining is not None:
+            self._remaining -= len(data)
+            if self._remaining < 0:
+                raise CallerLostError("answer is longer than its length")
+        if self._chunked:
+            return b"%b%x\r\n%b\r\n" % (head, len(data), data)
+        return head + data if head else data
+
+    def _write(self, data: bytes) -> None:
+        transport = self._protocol.transport
+        if transport is None or transport.is_closing():
+            raise CallerLostError("caller went away")
+        transport.write(data)
+
+    def _check_target(self) -> None:
+        target = self.target
+        if target.startswith("/"):
+            return
+        if target == "*" and self.method == "OPTIONS":
+            return
+        scheme, separator, rest = target.partition("://")
+        if self.method == "CONNECT" or not separator:
+            raise _refuse(400, "request target has no path")
+        if scheme.lower() not in ("http", "https"):
+            raise _refuse(400, "request target has another scheme")
+        authority, slash, path = rest.partition("/")
+        if authority.lower() != self.headers.get("Host", "").lower():
+            raise _refuse(400, "request target and Host differ")
+        self.target = slash + path if slash else "/"
+        self.path = self.target.partition("?")[0]
+
+
+def _refuse(status: int, message: str) -> RefusedError:
+    return RefusedError(message, status=status, kind="bad-request")
--- a/src/geraniumbend/adapters/_exchange.py
+++ b/src/geraniumbend/adapters/_exchange.py
@@ -59,11 +59,6 @@
         self._upload: asyncio.Task[None] | None = None
         self._upload_error: GeraniumbendError | None = None
 
-    @property
-    def has_body(self) -> bool:
-        """Tell whether the answer can have a body."""
-        return self._payload is not EMPTY_PAYLOAD
-
     def transmit(self, request: UpstreamRequest) -> None:
         """Send the request; a body that still arrives is sent by a task.
 
@@ -127,6 +122,20 @@
                 return
         raise UpstreamError("too many interim answers", "unknown")
 
+    def read_ready(self) -> tuple[bytes, bool]:
+        """Return the bytes that are there, and whether they end the body.
+
+        Raises
+        ------
+        UpstreamError
+            If the body ended early or is malformed.
+        """
+        payload = self._payload
+        try:
+            return payload.read_nowait(), payload.is_eof()
+        except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
+            raise UpstreamError(f"answer is truncated: {error}", "unknown") from error
+
     async def read(self) -> bytes:
         """Return the next bytes of the body, empty at its complete end.
 
--- /dev/null
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -0,0 +1,169 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from aiohttp import web
+
+from geraniumbend.adapters._caller_protocol import CallerProtocol
+from geraniumbend.adapters._http_tls import create_server_context
+from geraniumbend.logs import declare_event, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from geraniumbend.adapters._caller_request import HttpCallerRequest
+    from geraniumbend.settings import GatewaySettings, ListenSettings
+
+    Handler = Callable[[HttpCallerRequest], Awaitable[None]]
+
+BACKLOG = 1024
+MAX_FIELDS = 100
+IDLE_TIMEOUT_S = 75.0
+POLL_PERIOD_S = 0.02
+READ_BUFFER_BYTES = 128 * 1024
+
+declare_event(
+    203,
+    "requests_cut_off",
+    "error",
+    "Requests were still open when the time for shutting down ended.",
+)
+
+
+class Limits(NamedTuple):
+    """Limits against slow or oversized requests.
+
+    Parameters
+    ----------
+    header_limit_bytes : int, default=16384
+        Bytes of all header fields at most.
+    header_timeout_s : float, default=10.0
+        Time for all header fields, in seconds.
+    body_idle_timeout_s : float, default=20.0
+        Time without progress on a body, in seconds.
+    """
+
+    header_limit_bytes: int = 16_384
+    header_timeout_s: float = 10.0
+    body_idle_timeout_s: float = 20.0
+
+
+class CallerServer(web.Server):
+    """State that all connections of a listener share.
+
+    Parameters
+    ----------
+    handler : callable
+        Coroutine function that answers one request.
+    limits : Limits
+        Limits.
+    """
+
+    def __init__(self, handler: Handler, limits: Limits) -> None:
+        super().__init__(
+            handler,  # type: ignore[arg-type]
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            auto_decompress=False,
+            max_line_size=limits.header_limit_bytes,
+            max_field_size=limits.header_limit_bytes,
+            max_headers=MAX_FIELDS,
+            read_bufsize=READ_BUFFER_BYTES,
+        )
+        self.handler = handler
+        self.limits = limits
+        self.draining = False
+
+    def __call__(self) -> CallerProtocol:
+        """Return the protocol of a new connection."""
+        return CallerProtocol(self, loop=self._loop, **self._kwargs)
+
+
+class HttpListener:
+    """Listens for callers.
+
+    Parameters
+    ----------
+    handler : callable
+        Coroutine function that answers one request.
+    listen : ListenSettings
+        Address and TLS.
+    limits : Limits, default=Limits()
+        Limits against slow or oversized requests.
+    """
+
+    def __init__(
+        self, handler: Handler, listen: ListenSettings, limits: Limits | None = None
+    ) -> None:
+        self._listen = listen
+        self._server = CallerServer(handler, limits or Limits())
+        self._listening: asyncio.AbstractServer | None = None
+        self.port = listen.port
+
+    @classmethod
+    def from_config(cls, settings: GatewaySettings, handler: Handler) -> HttpListener:
+        """Build the listener for callers from the settings of the gateway."""
+        limits = Limits(
+            settings.header_limit_bytes,
+            settings.header_timeout_s,
+            settings.body_idle_timeout_s,
+        )
+        return cls(handler, settings.caller, limits)
+
+    def in_flight(self) -> int:
+        """Return the number of requests that are being answered."""
+        return sum(protocol.busy for protocol in self._protocols())
+
+    async def start(self) -> None:
+        """Listen."""
+        tls = self._listen.tls
+        self._listening = await asyncio.get_running_loop().create_server(
+            self._server,
+            self._listen.host,
+            self._listen.port,
+            ssl=None if tls is None else create_server_context(tls),
+            backlog=BACKLOG,
+        )
+        self.port = self._listening.sockets[0].getsockname()[1]
+
+    def begin_drain(self) -> None:
+        """Tell callers with each answer to use another connection."""
+        self._server.draining = True
+
+    async def stop(self, limit_s: float) -> int:
+        """Stop accepting, finish requests in flight and close all connections.
+
+        Parameters
+        ----------
+        limit_s : float
+            Longest wait for requests in flight, in seconds.
+
+        Returns
+        -------
+        int
+            Requests that were cut off.
+        """
+        self.begin_drain()
+        if self._listening is not None:
+            # Connections that the kernel has accepted are taken before the close.
+            await asyncio.sleep(POLL_PERIOD_S)
+            self._listening.close()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_s
+        while loop.time() < end:
+            for protocol in self._protocols():
+                protocol.close_if_idle()
+            if not self._server.connections:
+                return 0
+            await asyncio.sleep(POLL_PERIOD_S)
+        cut_off = self.in_flight()
+        if cut_off:
+            log_event(203, requests=cut_off)
+        for protocol in self._protocols():
+            protocol.force_close()
+        return cut_off
+
+    def _protocols(self) -> list[Any]:
+        return self._server.connections
--- a/src/geraniumbend/proxying/__init__.py
+++ b/src/geraniumbend/proxying/__init__.py
@@ -4,6 +4,7 @@
 
 from geraniumbend.proxying._headers import parse_request_timeout
 from geraniumbend.proxying._ports import (
+    AdmissionRequest,
     Answer,
     BodySource,
     CallerLostError,
@@ -12,6 +13,7 @@
     UpstreamError,
     UpstreamRequest,
 )
+from geraniumbend.proxying._proxy import Proxy, ProxyParts
 from geraniumbend.proxying._refusals import (
     describe_refusal,
     describe_status,
@@ -19,10 +21,13 @@
 )
 
 __all__ = [
+    "AdmissionRequest",
     "Answer",
     "BodySource",
     "CallerLostError",
     "CallerRequest",
+    "Proxy",
+    "ProxyParts",
     "Upstream",
     "UpstreamError",
     "UpstreamRequest",
--- /dev/null
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -0,0 +1,261 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from geraniumbend.errors import RefusedError
+from geraniumbend.proxying._hedge import Hedge
+from geraniumbend.proxying._ports import UpstreamError
+from geraniumbend.routing import Outcome
+
+if TYPE_CHECKING:
+    from geraniumbend.proxying._context import RequestContext
+    from geraniumbend.proxying._latencies import HeadLatencies
+    from geraniumbend.proxying._ports import (
+        Answer,
+        QuarantinePort,
+        RetryBudgetPort,
+        RouterPort,
+        Upstream,
+    )
+    from geraniumbend.routing import ServerView
+    from geraniumbend.timers import TimerService
+
+# Answers of a failing backend server that another one may do better.
+RETRIED_STATUSES = frozenset((500, 502, 503, 504))
+NOT_RUN_HEADER = "Request-Not-Run"
+REPORT_HEADER = "endpoint-load-metrics"
+
+
+class Attempt:
+    """One request to one backend server.
+
+    Parameters
+    ----------
+    view : ServerView
+        Backend server.
+    started_s : float
+        Reading of the timer service's clock.
+    """
+
+    __slots__ = ("answer", "finished", "head_latency_s", "started_s", "view")
+
+    def __init__(self, view: ServerView, started_s: float) -> None:
+        self.view = view
+        self.started_s = started_s
+        self.head_latency_s = 0.0
+        self.answer: Answer | None = None
+        self.finished = False
+
+    def was_not_run(self) -> bool:
+        """Tell whether the backend server states that it did not run the request."""
+        answer = self.answer
+        return (
+            answer is not None
+            and answer.status == 503
+            and answer.headers.get(NOT_RUN_HEADER) == "1"
+        )
+
+
+class Attempts:
+    """Sends requests to backend servers until one answers properly.
+
+    Parameters
+    ----------
+    router : Router
+        Chooses backend servers.
+    budget : RetryBudget
+        Bounds retries and hedges.
+    quarantine : Quarantine
+        Told about requests that end backend servers.
+    upstream : Upstream
+        Sends requests.
+    latencies : HeadLatencies
+        Recent latencies.
+    timers : TimerService
+        Clock.
+    """
+
+    def __init__(
+        self,
+        router: RouterPort,
+        budget: RetryBudgetPort,
+        quarantine: QuarantinePort,
+        upstream: Upstream,
+        latencies: HeadLatencies,
+        timers: TimerService,
+    ) -> None:
+        self._router = router
+        self._budget = budget
+        self._quarantine = quarantine
+        self._upstream = upstream
+        self._latencies = latencies
+        self._timers = timers
+
+    def now(self) -> float:
+        """Return the clock's reading in seconds."""
+        return self._timers.now()
+
+    async def fetch(self, context: RequestContext) -> Attempt:
+        """Return an attempt whose answer is to be sent to the caller.
+
+        Parameters
+        ----------
+        context : RequestContext
+            Request.
+
+        Returns
+        -------
+        Attempt
+            Attempt with an answer; the receiver ends it with `finish`.
+
+        Raises
+        ------
+        RefusedError
+            If no backend server answered; `run` is truthful for all attempts.
+        """
+        attempt = self.begin(context)
+        while True:
+            try:
+                attempt = await self._send_hedged(attempt, context)
+            except UpstreamError as error:
+                successor = self._begin_retry(context, error.run == "not_run")
+                if successor is None:
+                    raise _explain(context, error) from error
+            else:
+                answer = attempt.answer
+                assert answer is not None
+                if answer.status not in RETRIED_STATUSES:
+                    return attempt
+                not_run = attempt.was_not_run()
+                if not_run:
+                    context.unresolved -= 1
+                successor = self._begin_retry(context, not_run)
+                if successor is None and not not_run:
+                    return attempt
+                self.finish(attempt, context)
+                if successor is None:
+                    raise _explain_shed(context, answer)
+            attempt = successor
+
+    def begin(self, context: RequestContext) -> Attempt:
+        """Choose a backend server for the next attempt.
+
+        Raises
+        ------
+        RefusedError
+            If there is none that was not tried.
+        """
+        rule = context.rule
+        now_s = self._timers.now()
+        view = self._router.choose(
+            rule.group,
+            rule.request_class,
+            context.tried,
+            context.deadline_s - now_s,
+            trial=context.safe,
+        )
+        context.tried.add(view.server_id)
+        context.attempts += 1
+        self._router.start_request(view, rule.request_class)
+        return Attempt(view, now_s)
+
+    def begin_hedge(self, context: RequestContext) -> Attempt | None:
+        """Choose a server for a hedge, None if the budget or the servers are spent."""
+        return self._begin_retry(context, not_run=False)
+
+    async def send(self, attempt: Attempt, context: RequestContext) -> None:
+        """Send the request and wait for the head of the answer.
+
+        Raises
+        ------
+        UpstreamError
+            If no answer arrived; the attempt is finished.
+        """
+        rule = context.rule
+        silence_s = self._latencies.silence_bound(rule.group, rule.request_class)
+        context.unresolved += 1
+        try:
+            answer = await self._upstream.send(
+                attempt.view.server,
+                context.build_request(self._timers.now(), silence_s),
+            )
+        except UpstreamError as error:
+            if error.run == "not_run":
+                context.unresolved -= 1
+            self.finish(attempt, context, failed=True)
+            if error.server_lost:
+                await self._quarantine.report_loss(
+                    context.fingerprint, attempt.view.server_id
+                )
+            raise
+        except BaseException:
+            self.finish(attempt, context)
+            raise
+        attempt.answer = answer
+        attempt.head_latency_s = self._timers.now() - attempt.started_s
+        self._latencies.observe(rule.group, rule.request_class, attempt.head_latency_s)
+        report = answer.headers.get(REPORT_HEADER)
+        if report is not None:
+            self._router.observe_report(attempt.view, report)
+        self._quarantine.report_success(context.fingerprint)
+
+    def finish(
+        self, attempt: Attempt, context: RequestContext, failed: bool = False
+    ) -> None:
+        """End an attempt and close its connection unless it was read completely."""
+        if attempt.finished:
+            return
+        attempt.finished = True
+        status = 0
+        if attempt.answer is not None:
+            status = attempt.answer.status
+            attempt.answer.close()
+        latency_s = self._timers.now() - attempt.started_s
+        outcome = Outcome(status, latency_s, attempt.head_latency_s, failed)
+        self._router.finish_request(attempt.view, context.rule.request_class, outcome)
+        if status and status < 500 and not failed:
+            self._budget.earn(context.rule.group)
+
+    def _begin_retry(self, context: RequestContext, not_run: bool) -> Attempt | None:
+        if not (context.safe or not_run) or context.single or not context.repeatable:
+            return None
+        if context.attempts >= context.rule.retry.attempts:
+            return None
+        if self._timers.now() >= context.deadline_s:
+            return None
+        if not self._budget.spend(context.rule.group):
+            return None
+        try:
+            return self.begin(context)
+        except RefusedError:
+            return None
+
+    async def _send_hedged(self, first: Attempt, context: RequestContext) -> Attempt:
+        rule = context.rule
+        delay_s = None
+        if (
+            context.safe
+            and rule.retry.hedge
+            and context.source is None
+            and context.attempts < rule.retry.attempts
+        ):
+            delay_s = self._latencies.hedge_delay(rule.group, rule.request_class)
+        if delay_s is None:
+            await self.send(first, context)
+            return first
+        return await Hedge(self, first, context).run(delay_s)
+
+
+def _explain(context: RequestContext, error: UpstreamError) -> RefusedError:
+    if error.timed_out:
+        return context.refuse(error, 504, "deadline-passed")
+    if context.unresolved:
+        return context.refuse(error, 502, "backend-failed")
+    return context.refuse(error, 503, "backend-unreachable", 1.0)
+
+
+def _explain_shed(context: RequestContext, answer: Answer) -> RefusedError:
+    after = answer.headers.get("Retry-After", "")
+    delay_s = float(after) if after.isdecimal() and len(after) < 6 else 1.0
+    cause = RefusedError("backend server shed the request before running it")
+    return context.refuse(cause, 503, "shed", delay_s)
--- /dev/null
+++ b/src/geraniumbend/proxying/_context.py
@@ -0,0 +1,213 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from geraniumbend.errors import RefusedError
+from geraniumbend.proxying._headers import copy_request_lines
+from geraniumbend.proxying._ports import UpstreamRequest
+
+if TYPE_CHECKING:
+    from geraniumbend.errors import GeraniumbendError
+    from geraniumbend.model import Rule
+    from geraniumbend.proxying._ports import BodySource, CallerRequest
+
+# RFC 9110, 9.2.1, without TRACE, which reflects credentials.
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+# Bodies up to this size are read before a backend server is chosen; they can be sent
+# again, and a slow caller holds no slot while it sends them.
+BUFFER_BYTES = 64 * 1024
+ORDER_BODY_BYTES = 1024 * 1024
+# Part of the remaining time after which silence is suspected at the latest, so that
+# enough is left for the answer on another connection.
+SILENCE_SHARE = 0.4
+
+
+class PrefixedBody:
+    """Body whose first bytes were read already.
+
+    Parameters
+    ----------
+    prefix : bytes
+        Bytes read so far.
+    rest : BodySource
+        Source of the other bytes.
+    """
+
+    def __init__(self, prefix: bytes, rest: BodySource) -> None:
+        self._prefix = prefix
+        self._rest = rest
+        self.consumed = False
+
+    async def read_body(self) -> bytes:
+        """Return the next bytes, empty at the end."""
+        self.consumed = True
+        if self._prefix:
+            prefix, self._prefix = self._prefix, b""
+            return prefix
+        return await self._rest.read_body()
+
+
+class RequestContext:
+    """State of one request while it is handled.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        Request.
+    rule : Rule
+        Rule that matched.
+    deadline_s : float
+        Reading of the timer service's clock at which the answer is due.
+
+    Attributes
+    ----------
+    unresolved : int
+        Attempts of which it is not known that they were not run.
+    tried : set of str
+        Ids of backend servers that were tried.
+    single : bool
+        The request must not be sent a second time even if it was not run.
+    """
+
+    def __init__(self, request: CallerRequest, rule: Rule, deadline_s: float) -> None:
+        self.request = request
+        self.rule = rule
+        self.deadline_s = deadline_s
+        self.safe = request.method in SAFE_METHODS and rule.order is None
+        self.single = False
+        self.body = b""
+        self.source: PrefixedBody | None = None
+        self.fingerprint = ""
+        self.tried: set[str] = set()
+        self.attempts = 0
+        self.unresolved = 0
+        self._prefix = b""
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether the body is still there to be sent again."""
+        return self.source is None or not self.source.consumed
+
+    async def read_body(self) -> None:
+        """Read a small body completely and the start of a large one.
+
+        Raises
+        ------
+        RefusedError
+            If an order's body is too large, or the body is malformed.
+        """
+        request = self.request
+        limit = ORDER_BODY_BYTES if self.rule.order is not None else BUFFER_BYTES
+        if request.body_length is not None and request.body_length > limit:
+            parts: list[bytes] = []
+            complete = False
+        else:
+            parts, complete = await self._read_up_to(limit)
+        if complete:
+            self.body = b"".join(parts)
+        elif self.rule.order is not None:
+            raise RefusedError(
+                f"an order's body exceeds {ORDER_BODY_BYTES} bytes",
+                status=413,
+                kind="body-too-large",
+            )
+        else:
+            self.source = PrefixedBody(b"".join(parts), request)
+        self.fingerprint = self._fingerprint(b"".join(parts))
+
+    def build_request(self, now_s: float, silence_s: float) -> UpstreamRequest:
+        """Return the request for a backend server.
+
+        Parameters
+        ----------
+        now_s : float
+            Reading of the timer service's clock.
+        silence_s : float
+            Bound for silence of a reused connection, in seconds.
+        """
+        if not self._prefix:
+            self._prefix = self._build_prefix()
+        remaining_s = max(self.deadline_s - now_s, 0.001)
+        return UpstreamRequest(
+            method=self.request.method,
+            head=b"%bRequest-Timeout: %.3f\r\n\r\n" % (self._prefix, remaining_s),
+            body=self.body,
+            source=self.source,
+            chunked=self.source is not None and self.request.body_length is None,
+            safe=self.safe,
+            deadline_s=self.deadline_s,
+            silence_s=min(silence_s, SILENCE_SHARE * remaining_s),
+        )
+
+    def refuse(
+        self,
+        cause: GeraniumbendError,
+        status: int = 502,
+        kind: str = "backend-failed",
+        retry_after_s: float | None = None,
+    ) -> RefusedError:
+        """Return a refusal that tells truthfully whether the request may have run."""
+        return RefusedError(
+            cause.message,
+            cause.remedy,
+            run="unknown" if self.unresolved else "not_run",
+            status=status,
+            kind=kind,
+            retry_after_s=retry_after_s,
+        )
+
+    async def _read_up_to(self, limit: int) -> tuple[list[bytes], bool]:
+        parts: list[bytes] = []
+        size = 0
+        if not self.request.has_body:
+            return parts, True
+        while size <= limit:
+            data = await self.request.read_body()
+            if not data:
+                return parts, True
+            parts.append(data)
+            size += len(data)
+        return parts, False
+
+    def _fingerprint(self, start: bytes) -> str:
+        request = self.request
+        digest = xxhash.xxh3_128(_encode(f"{request.method} {request.target}\n"))
+        digest.update(start)
+        if self.source is not None:
+            digest.update(f"\n{request.body_length}".encode())
+        return digest.hexdigest()
+
+    def _build_prefix(self) -> bytes:
+        request = self.request
+        headers = request.headers
+        lines = [_encode(f"{request.method} {request.target} HTTP/1.1\r\n")]
+        lines += copy_request_lines(request.raw_headers, headers.get("Connection"))
+        if self.source is None:
+            if self.body or request.has_body or request.body_length is None:
+                lines.append(b"Content-Length: %d\r\n" % len(self.body))
+            elif "Content-Length" in headers:
+                lines.append(b"Content-Length: 0\r\n")
+        elif request.body_length is None:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        else:
+            lines.append(b"Content-Length: %d\r\n" % request.body_length)
+        chain = _append(headers.get("X-Forwarded-For"), request.remote)
+        schemes = _append(headers.get("X-Forwarded-Proto"), request.scheme)
+        lines.append(
+            _encode(
+                f"X-Forwarded-For: {chain}\r\nX-Forwarded-Proto: {schemes}\r\n"
+                f"X-Request-Id: {request.request_id}\r\n"
+            )
+        )
+        return b"".join(lines)
+
+
+def _append(existing: str | None, value: str) -> str:
+    return f"{existing}, {value}" if existing else value
+
+
+def _encode(text: str) -> bytes:
+    # Bytes of the caller that are no UTF-8 come back as they were.
+    return text.encode("utf-8", "surrogateescape")
--- /dev/null
+++ b/src/geraniumbend/proxying/_order_flow.py
@@ -0,0 +1,250 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+import xxhash
+
+from geraniumbend.errors import RefusedError, UnavailableError
+from geraniumbend.logs import declare_event, log_event
+from geraniumbend.proxying._ports import UpstreamError
+from geraniumbend.proxying._relay import list_answer_lines
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from geraniumbend.proxying._attempts import Attempt, Attempts
+    from geraniumbend.proxying._context import RequestContext
+    from geraniumbend.proxying._ports import CallerRequest, OrdersPort
+    from geraniumbend.timers import TimerService
+
+    Collect = Callable[[RequestContext, Attempt], Awaitable["StoredAnswer"]]
+    Fetch = Callable[[RequestContext, Collect], Awaitable["StoredAnswer"]]
+
+STORED_BYTES = 256 * 1024
+ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
+MAX_KEY_CHARACTERS = 255
+
+declare_event(
+    220,
+    "order_not_recorded",
+    "error",
+    "The outcome of an order could not be stored; a retry of it is answered with 409.",
+)
+
+
+class StoredAnswer(NamedTuple):
+    """Answer of an order as the journal keeps it.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    reason : str
+        Reason phrase.
+    lines : list of bytes
+        Header lines without framing fields and request id.
+    body : bytes
+        Body.
+    """
+
+    status: int
+    reason: str
+    lines: list[bytes]
+    body: bytes
+
+
+class OrderFlow:
+    """Runs orders at most once with the help of the journal.
+
+    Parameters
+    ----------
+    attempts : Attempts
+        Sends requests.
+    orders : OrderClient or None
+        Journal; without it orders are refused.
+    timers : TimerService
+        Clock.
+    node : str
+        Name of this gateway, the owner of claims.
+    """
+
+    def __init__(
+        self,
+        attempts: Attempts,
+        orders: OrdersPort | None,
+        timers: TimerService,
+        node: str,
+    ) -> None:
+        self._attempts = attempts
+        self._orders = orders
+        self._timers = timers
+        self._node = node
+        self._running: set[asyncio.Task[StoredAnswer]] = set()
+
+    def in_flight(self) -> int:
+        """Return the orders that run, also those whose caller went away."""
+        return len(self._running)
+
+    async def answer(
+        self, context: RequestContext, caller: str, fetch: Fetch
+    ) -> int | None:
+        """Answer an order.
+
+        An order that was sent runs to its end even if its caller goes away, so that a
+        retry with the same key finds the answer.
+
+        Parameters
+        ----------
+        context : RequestContext
+            Request whose rule has `order`.
+        caller : str
+            Identity of the caller.
+        fetch : callable
+            Coroutine function that admits and sends the request and returns what a
+            second argument makes of the attempt.
+
+        Returns
+        -------
+        int or None
+            Status of the answer; None if the order has no key and is to be sent as
+            an ordinary request that is never repeated.
+
+        Raises
+        ------
+        RefusedError
+            If the order is not answered; `run` is truthful.
+        """
+        order = context.rule.order
+        assert order is not None
+        key = context.request.headers.get(order.key_header, "")
+        if not key and order.keyless == "once":
+            context.single = True
+            return None
+        if not 0 < len(key) <= MAX_KEY_CHARACTERS:
+            raise RefusedError(
+                f"an order needs the header {order.key_header}",
+                "send a new unique key with each order and repeat it with each retry",
+                status=400,
+                kind="order-key-missing",
+            )
+        claim = await self._claim(context, key, caller)
+        if claim.state == "completed":
+            stored = msgspec.msgpack.decode(claim.answer, type=StoredAnswer)
+            return await self._send(context.request, stored)
+        running = asyncio.ensure_future(self._run(context, claim, fetch))
+        self._running.add(running)
+        running.add_done_callback(self._forget)
+        try:
+            stored = await asyncio.shield(running)
+        except asyncio.CancelledError:
+            if not context.unresolved:
+                running.cancel()
+            raise
+        return await self._send(context.request, stored)
+
+    async def _claim(self, context: RequestContext, key: str, caller: str) -> Any:
+        request = context.request
+        if self._orders is None:
+            raise RefusedError("orders are not available", kind="orders-unavailable")
+        digest = xxhash.xxh3_128(
+            f"{request.method} {request.target}\n".encode("utf-8", "surrogateescape")
+        )
+        digest.update(context.body)
+        try:
+            claim = await self._orders.claim(
+                key,
+                xxhash.xxh3_128_hexdigest(caller.encode("utf-8", "surrogateescape")),
+                digest.hexdigest(),
+                self._node,
+                context.deadline_s - self._timers.now(),
+            )
+        except UnavailableError as error:
+            raise RefusedError(
+                f"the order journal is not available: {error.message}",
+                "retry with the same key",
+                kind="orders-unavailable",
+                retry_after_s=1.0,
+            ) from error
+        if claim.state == "mismatch":
+            raise RefusedError(
+                "the key was used for another order or by another caller",
+                "use a new key",
+                status=422,
+                kind="order-key-reused",
+            )
+        if claim.state not in ("granted", "completed"):
+            raise RefusedError(
+                "an earlier request with this key may have run",
+                "ask the backend application for the order's state",
+                run="unknown",
+                status=409,
+                kind="order-unknown",
+            )
+        return claim
+
+    async def _run(
+        self, context: RequestContext, claim: Any, fetch: Fetch
+    ) -> StoredAnswer:
+        try:
+            stored = await fetch(context, self._collect)
+        except BaseException:
+            if not context.unresolved:
+                await self._record(self._release, claim, b"")
+            raise
+        if len(stored.body) <= STORED_BYTES:
+            encoded = msgspec.msgpack.encode(stored)
+            await self._record(self._complete, claim, encoded)
+        return stored
+
+    async def _collect(self, context: RequestContext, attempt: Attempt) -> StoredAnswer:
+        answer = attempt.answer
+        assert answer is not None
+        failed = True
+        try:
+            lines = list_answer_lines(context.request, answer)[:-1]
+            parts: list[bytes] = []
+            size = 0
+            complete = False
+            while not complete:
+                data, complete = answer.read_ready()
+                if not complete and not data:
+                    data = await answer.read()
+                parts.append(data)
+                size += len(data)
+                if size > ANSWER_LIMIT_BYTES:
+                    raise UpstreamError("an order's answer is too long", "unknown")
+            failed = False
+            return StoredAnswer(answer.status, answer.reason, lines, b"".join(parts))
+        finally:
+            self._attempts.finish(attempt, context, failed)
+
+    async def _send(self, request: CallerRequest, stored: StoredAnswer) -> int:
+        lines = [*stored.lines, b"X-Request-Id: %b\r\n" % request.request_id.encode()]
+        length = len(stored.body)
+        await request.start_answer(stored.status, stored.reason, lines, length)
+        request.finish_answer(stored.body)
+        return stored.status
+
+    async def _record(
+        self, record: Callable[[Any, bytes], Awaitable[None]], claim: Any, data: bytes
+    ) -> None:
+        try:
+            await record(claim, data)
+        except UnavailableError as error:
+            log_event(220, error=str(error), outcome=record.__name__)
+
+    async def _complete(self, claim: Any, data: bytes) -> None:
+        assert self._orders is not None
+        await self._orders.complete(claim, data)
+
+    async def _release(self, claim: Any, data: bytes) -> None:
+        assert self._orders is not None
+        await self._orders.release(claim)
+
+    def _forget(self, task: asyncio.Task[StoredAnswer]) -> None:
+        self._running.discard(task)
+        if not task.cancelled():
+            # Retrieved here too, because the caller may be gone.
+            task.exception()
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -5,9 +5,10 @@
 from geraniumbend.errors import GeraniumbendError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
-    from geraniumbend.model import BackendServer
+    from geraniumbend.model import BackendServer, Configuration
+    from geraniumbend.routing import Outcome, ServerView
 
     RawHeaders = Sequence[tuple[bytes, bytes]]
 
@@ -93,8 +94,16 @@
     reason: str
     headers: Mapping[str, str]
     raw_headers: RawHeaders
-    has_body: bool
-    request_sent: bool
+
+    def read_ready(self) -> tuple[bytes, bool]:
+        """Return the bytes that are there, and whether they end the body.
+
+        Raises
+        ------
+        UpstreamError
+            If the body ended early.
+        """
+        ...
 
     async def read(self) -> bytes:
         """Return the next bytes of the body, empty at its complete end.
@@ -138,11 +147,12 @@
     has_body: bool
     body_length: int | None
     answer_started: bool
+    request_id: str
 
     async def start_answer(
-        self, status: int, reason: str, headers: Iterable[bytes], length: int | None
+        self, status: int, reason: str, lines: Iterable[bytes], length: int | None
     ) -> None:
-        """Write the head of the answer.
+        """Prepare the head of the answer; it is written with the first bytes.
 
         Parameters
         ----------
@@ -150,10 +160,10 @@
             Status code.
         reason : str
             Reason phrase.
-        headers : iterable of bytes
-            Lines with their line ends, without framing fields.
+        lines : iterable of bytes
+            Header lines with their line ends, without framing fields.
         length : int or None
-            Length of the body, -1 when there is none, None when unknown.
+            Length of the body, None when unknown.
         """
         ...
 
@@ -161,10 +171,145 @@
         """Write bytes of the body; waits while the caller reads slowly."""
         ...
 
-    async def finish_answer(self) -> None:
-        """Write the end of the body."""
+    def finish_answer(self, data: bytes = b"") -> None:
+        """Write the last bytes of the body and its end."""
         ...
 
     def abort(self) -> None:
         """Break the caller's connection so that the answer looks truncated."""
         ...
+
+
+class ConfigurationPort(Protocol):
+    """Source of the active configuration."""
+
+    @property
+    def current(self) -> Configuration:
+        """Return the active configuration; never changed in place."""
+        ...
+
+
+class RouterPort(Protocol):
+    """Choice of backend servers."""
+
+    def choose(
+        self,
+        group: str,
+        request_class: str,
+        excluded: Collection[str],
+        deadline_s: float,
+        trial: bool = True,
+    ) -> ServerView:
+        """Return a backend server; raises RefusedError when none is left."""
+        ...
+
+    def start_request(self, view: ServerView, request_class: str) -> None:
+        """Count a request that is sent to a server."""
+        ...
+
+    def finish_request(
+        self, view: ServerView, request_class: str, outcome: Outcome
+    ) -> None:
+        """Learn from the end of a request."""
+        ...
+
+    def observe_report(self, view: ServerView, header_value: str) -> None:
+        """Take the load report of a response."""
+        ...
+
+
+class RetryBudgetPort(Protocol):
+    """Bound of retries and hedges."""
+
+    def spend(self, group: str) -> bool:
+        """Tell whether one more attempt is allowed, and count it."""
+        ...
+
+    def earn(self, group: str) -> None:
+        """Count a success."""
+        ...
+
+
+class QuarantinePort(Protocol):
+    """Requests that end backend servers."""
+
+    def check(self, fingerprint: str) -> None:
+        """Raise RefusedError if the request is in quarantine."""
+        ...
+
+    async def report_loss(self, fingerprint: str, server_id: str) -> None:
+        """Tell all gateways that a server was lost to a request."""
+        ...
+
+    def report_success(self, fingerprint: str) -> None:
+        """Clear what is known about a request that was answered."""
+        ...
+
+
+class AdmissionRequest(NamedTuple):
+    """What admission looks at.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    request_class : str
+        Class of the request.
+    sheet : str
+        Id of one open of a sheet, empty when absent.
+    caller : str
+        Identity of the caller.
+    deadline : float
+        Reading of the timer service's clock at which the answer is due.
+    """
+
+    group: str
+    request_class: str
+    sheet: str
+    caller: str
+    deadline: float
+
+
+class TicketPort(Protocol):
+    """Permission to send one request."""
+
+    def release(self, outcome: Outcome) -> None:
+        """Give the place back."""
+        ...
+
+
+class AdmissionPort(Protocol):
+    """Admission of requests under overload."""
+
+    async def admit(self, request: AdmissionRequest) -> TicketPort:
+        """Wait for a place; raises RefusedError when the request is refused."""
+        ...
+
+
+class ClaimPort(Protocol):
+    """Claim of an order's key."""
+
+    state: str
+
+
+class OrdersPort(Protocol):
+    """Journal of orders."""
+
+    async def claim(
+        self,
+        key: str,
+        caller_digest: str,
+        request_digest: str,
+        owner: str,
+        deadline_s: float,
+    ) -> ClaimPort:
+        """Claim a key."""
+        ...
+
+    async def complete(self, claim: ClaimPort, answer: bytes) -> None:
+        """Store the answer of a claimed order."""
+        ...
+
+    async def release(self, claim: ClaimPort) -> None:
+        """Record that a claimed order was not run."""
+        ...
--- /dev/null
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -0,0 +1,290 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
+
+from geraniumbend.errors import RefusedError
+from geraniumbend.logs import declare_event, log_event
+from geraniumbend.proxying._attempts import Attempts
+from geraniumbend.proxying._context import RequestContext
+from geraniumbend.proxying._headers import choose_request_id, parse_request_timeout
+from geraniumbend.proxying._latencies import HeadLatencies
+from geraniumbend.proxying._order_flow import OrderFlow
+from geraniumbend.proxying._ports import (
+    AdmissionRequest,
+    CallerLostError,
+    UpstreamError,
+)
+from geraniumbend.proxying._relay import relay
+from geraniumbend.routing import Outcome, RequestFacts, RuleTable
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from geraniumbend.model import Rule
+    from geraniumbend.proxying._attempts import Attempt
+    from geraniumbend.proxying._order_flow import Collect, StoredAnswer
+    from geraniumbend.proxying._ports import (
+        AdmissionPort,
+        CallerRequest,
+        ConfigurationPort,
+        OrdersPort,
+        QuarantinePort,
+        RetryBudgetPort,
+        RouterPort,
+        Upstream,
+    )
+    from geraniumbend.settings import Settings
+    from geraniumbend.timers import TimerService
+
+T = TypeVar("T")
+# The parts bound their own waits by the deadline and know more about the request's
+# state than the outer limit, which therefore comes a little later.
+DEADLINE_GRACE_S = 0.02
+
+declare_event(210, "request_refused", "debug", "A caller's request was refused.")
+declare_event(
+    211,
+    "answer_cut_off",
+    "warning",
+    "A backend server's answer ended early; the caller's connection was reset.",
+)
+
+
+class ProxyParts(NamedTuple):
+    """Decisions and adapters that a request passes.
+
+    Parameters
+    ----------
+    configuration : ConfigurationView
+        Active configuration.
+    router : Router
+        Choice of backend servers.
+    admission : Admission
+        Admission under overload.
+    budget : RetryBudget
+        Bound of retries and hedges.
+    quarantine : Quarantine
+        Requests that end backend servers.
+    upstream : Upstream
+        Connections to backend servers.
+    orders : OrderClient or None
+        Journal of orders; without it orders are refused.
+    timers : TimerService
+        Clock.
+    """
+
+    configuration: ConfigurationPort
+    router: RouterPort
+    admission: AdmissionPort
+    budget: RetryBudgetPort
+    quarantine: QuarantinePort
+    upstream: Upstream
+    orders: OrdersPort | None
+    timers: TimerService
+
+
+class Proxy:
+    """Answers callers' requests with the answers of backend servers.
+
+    Parameters
+    ----------
+    parts : ProxyParts
+        Decisions and adapters.
+    node : str
+        Name of this gateway, the owner of orders.
+    sheet_header, caller_header : str
+        Headers that name the open of a sheet and the caller.
+    body_idle_timeout_s : float
+        Longest wait for the next bytes of an answer, in seconds.
+    observe : callable or None, default=None
+        Called with group, request class, status and seconds at the end of a request.
+    """
+
+    def __init__(
+        self,
+        parts: ProxyParts,
+        node: str = "",
+        sheet_header: str = "Sheet-Open",
+        caller_header: str = "Authorization",
+        body_idle_timeout_s: float = 20.0,
+        observe: Callable[[str, str, int, float], None] | None = None,
+    ) -> None:
+        self._parts = parts
+        self._sheet_header = sheet_header
+        self._caller_header = caller_header
+        self._body_idle_timeout_s = body_idle_timeout_s
+        self._observe = observe
+        self._rules = RuleTable(parts.configuration.current)
+        self._attempts = Attempts(
+            parts.router,
+            parts.budget,
+            parts.quarantine,
+            parts.upstream,
+            HeadLatencies(),
+            parts.timers,
+        )
+        self._orders = OrderFlow(self._attempts, parts.orders, parts.timers, node)
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        parts: ProxyParts,
+        observe: Callable[[str, str, int, float], None] | None = None,
+    ) -> Proxy:
+        """Build the proxy of a gateway from its settings."""
+        gateway = settings.gateway
+        return cls(
+            parts,
+            settings.node.name,
+            gateway.sheet_header,
+            gateway.caller_header,
+            gateway.body_idle_timeout_s,
+            observe,
+        )
+
+    def orders_in_flight(self) -> int:
+        """Return the orders that run, also those whose caller went away."""
+        return self._orders.in_flight()
+
+    async def handle(self, request: CallerRequest) -> None:
+        """Answer one request.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            Request; answered completely, or aborted after a part of the answer.
+
+        Raises
+        ------
+        RefusedError
+            If nothing was written; the receiver answers with a problem document.
+        CallerLostError
+            If the caller went away.
+        """
+        parts = self._parts
+        request.request_id = choose_request_id(request.headers)
+        started_s = parts.timers.now()
+        rule = self._find_rule(request)
+        allowed_s = parse_request_timeout(
+            request.headers.get("Request-Timeout"), rule.deadline_s
+        )
+        context = RequestContext(request, rule, started_s + allowed_s)
+        status = 0
+        try:
+            async with asyncio.timeout(allowed_s + DEADLINE_GRACE_S):
+                status = await self._answer(context)
+        except TimeoutError:
+            if request.answer_started:
+                self._cut_off(request, "deadline passed")
+                return
+            cause = RefusedError("the deadline passed")
+            raise self._refuse(
+                context, context.refuse(cause, 504, "deadline-passed")
+            ) from None
+        except UpstreamError as error:
+            if request.answer_started:
+                self._cut_off(request, error.message)
+                return
+            raise self._refuse(context, context.refuse(error)) from error
+        except RefusedError as error:
+            status = error.status
+            raise self._refuse(context, error) from None
+        finally:
+            if self._observe is not None:
+                seconds = parts.timers.now() - started_s
+                self._observe(rule.group, rule.request_class, status, seconds)
+
+    def _find_rule(self, request: CallerRequest) -> Rule:
+        configuration = self._parts.configuration.current
+        rules = self._rules
+        if rules.configuration is not configuration:
+            rules = self._rules = RuleTable(configuration)
+        facts = RequestFacts(
+            request.headers.get("Host", ""),
+            request.path,
+            request.method,
+            request.headers,
+        )
+        rule = rules.find(facts)
+        if rule is None:
+            raise RefusedError(
+                "no rule matches the request",
+                "check path, method and host",
+                status=404,
+                kind="no-rule",
+            )
+        return rule
+
+    async def _answer(self, context: RequestContext) -> int:
+        parts = self._parts
+        request = context.request
+        await context.read_body()
+        parts.quarantine.check(context.fingerprint)
+        caller = request.headers.get(self._caller_header) or request.remote
+        if context.rule.order is not None:
+
+            async def fetch(context: RequestContext, collect: Collect) -> StoredAnswer:
+                return await self._admit_and(context, caller, collect)
+
+            status = await self._orders.answer(context, caller, fetch)
+            if status is not None:
+                return status
+        return await self._admit_and(context, caller, self._forward)
+
+    async def _admit_and(
+        self,
+        context: RequestContext,
+        caller: str,
+        use: Callable[[RequestContext, Attempt], Awaitable[T]],
+    ) -> T:
+        """Admit and send a request and return what a function makes of the attempt."""
+        rule = context.rule
+        timers = self._parts.timers
+        sheet = context.request.headers.get(self._sheet_header, "")
+        ticket = await self._parts.admission.admit(
+            AdmissionRequest(
+                rule.group, rule.request_class, sheet, caller, context.deadline_s
+            )
+        )
+        started_s = timers.now()
+        status = 0
+        try:
+            attempt = await self._attempts.fetch(context)
+            assert attempt.answer is not None
+            status = attempt.answer.status
+            return await use(context, attempt)
+        finally:
+            latency_s = timers.now() - started_s
+            ticket.release(Outcome(status, latency_s, 0.0, not status))
+
+    async def _forward(self, context: RequestContext, attempt: Attempt) -> int:
+        answer = attempt.answer
+        assert answer is not None
+        failed = False
+        try:
+            await relay(context.request, answer, self._body_idle_timeout_s)
+            return answer.status
+        except UpstreamError:
+            failed = True
+            raise
+        finally:
+            self._attempts.finish(attempt, context, failed)
+
+    def _refuse(self, context: RequestContext, error: RefusedError) -> RefusedError:
+        if context.unresolved:
+            error.run = "unknown"
+        log_event(
+            210,
+            request_id=context.request.request_id,
+            status=error.status,
+            run=error.run,
+            reason=error.message,
+        )
+        return error
+
+    def _cut_off(self, request: CallerRequest, reason: str) -> None:
+        log_event(211, request_id=request.request_id, reason=reason)
+        request.abort()
+        raise CallerLostError(reason)
--- /dev/null
+++ b/src/geraniumbend/proxying/_relay.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from geraniumbend.proxying._headers import contains_line_break, copy_answer_lines
+from geraniumbend.proxying._ports import UpstreamError
+
+if TYPE_CHECKING:
+    from geraniumbend.proxying._ports import Answer, CallerRequest
+
+
+def list_answer_lines(request: CallerRequest, answer: Answer) -> list[bytes]:
+    """Return the header lines of an answer for the caller, without framing.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        Request that is answered.
+    answer : Answer
+        Answer of a backend server.
+
+    Raises
+    ------
+    UpstreamError
+        If a field contains a line break.
+    """
+    lines = copy_answer_lines(answer.raw_headers, answer.headers.get("Connection"))
+    if contains_line_break(lines):
+        raise UpstreamError("answer has a line break in a field", "unknown")
+    lines.append(b"X-Request-Id: %b\r\n" % request.request_id.encode())
+    return lines
+
+
+def read_length(answer: Answer) -> int | None:
+    """Return the length of an answer's body, None when it is not declared."""
+    if "Transfer-Encoding" in answer.headers:
+        return None
+    length = answer.headers.get("Content-Length", "")
+    return int(length) if length.isdecimal() and length.isascii() else None
+
+
+async def relay(request: CallerRequest, answer: Answer, idle_s: float) -> None:
+    """Send an answer to the caller as it arrives.
+
+    The end is written only after the backend server's answer was read completely;
+    on any error the receiver of the exception aborts the caller's connection.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        Request that is answered.
+    answer : Answer
+        Answer of a backend server.
+    idle_s : float
+        Longest wait for the next bytes of the body, in seconds.
+
+    Raises
+    ------
+    UpstreamError
+        If the answer is truncated or makes no progress.
+    CallerLostError
+        If the caller went away.
+    """
+    lines = list_answer_lines(request, answer)
+    await request.start_answer(answer.status, answer.reason, lines, read_length(answer))
+    while True:
+        data, complete = answer.read_ready()
+        if complete:
+            request.finish_answer(data)
+            return
+        if not data:
+            # The head goes out before a wait for the body.
+            await request.write(b"")
+            try:
+                async with asyncio.timeout(idle_s):
+                    data = await answer.read()
+            except TimeoutError as error:
+                raise UpstreamError("answer makes no progress", "unknown") from error
+        await request.write(data)
--- /dev/null
+++ b/tests/adapters/test_http_listener.py
@@ -0,0 +1,239 @@
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from geraniumbend.adapters.http_listener import Limits
+from tests.adapters._backend import ScriptedBackend, reply
+from tests.proxying._path import DataPath, parse, problem
+
+SHORT = Limits(2048, 0.15, 0.15)
+
+
+class BadInputTest(unittest.IsolatedAsyncioTestCase):
+    """What a gateway must refuse instead of forwarding or failing."""
+
+    async def check(self, raw, status, forwarded=0):
+        async with ScriptedBackend(reply()) as backend, DataPath(backend) as path:
+            got, document = problem(parse(await path.exchange(raw)))
+            self.assertEqual((got, document["run"]), (status, "not_run"))
+            self.assertEqual(len(backend.received), forwarded)
+            after = await path.get()
+            self.assertEqual(after[0], 200)
+
+    async def test_length_together_with_chunked_coding_is_refused(self):
+        # The two lengths let a second request be smuggled past one of two servers.
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+        await self.check(
+            head + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x", 400
+        )
+
+    async def test_chunked_coding_together_with_length_is_refused(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        await self.check(head + b"Content-Length: 4\r\n\r\n0\r\n\r\n", 400)
+
+    async def test_two_lengths_are_refused(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+        await self.check(head + b"Content-Length: 2\r\n\r\nab", 400)
+
+    async def test_unknown_transfer_coding_is_refused(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\n"
+        await self.check(head + b"Transfer-Encoding: gzip\r\n\r\n", 400)
+
+    async def test_chunked_coding_in_http_1_0_is_refused(self):
+        head = b"POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await self.check(head + b"0\r\n\r\n", 400)
+
+    async def test_missing_and_repeated_host_are_refused(self):
+        await self.check(b"GET / HTTP/1.1\r\n\r\n", 400)
+        await self.check(b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400)
+
+    async def test_unknown_expectation_is_refused(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+        await self.check(head + b"Expect: miracle\r\n\r\na", 417)
+
+    async def test_connect_and_targets_without_path_are_refused(self):
+        await self.check(b"CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n", 400)
+        await self.check(b"GET ftp://h/ HTTP/1.1\r\nHost: h\r\n\r\n", 400)
+        await self.check(b"GET http://other/ HTTP/1.1\r\nHost: h\r\n\r\n", 400)
+
+    async def test_garbage_is_refused(self):
+        await self.check(b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400)
+
+    async def test_too_many_header_bytes_are_refused(self):
+        many = b"".join(b"X-%d: %b\r\n" % (n, b"v" * 900) for n in range(40))
+        await self.check(b"GET / HTTP/1.1\r\nHost: h\r\n" + many + b"\r\n", 431)
+        endless = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"v" * 100_000
+        await self.check(endless, 431)
+
+    async def test_malformed_chunk_ends_the_request_at_once(self):
+        # The parser alone leaves the reader of the body waiting.
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        async with ScriptedBackend(reply()) as backend, DataPath(backend) as path:
+            reader, writer = await path.connect()
+            started = time.monotonic()
+            writer.write(head + b"3\r\nabc\r\n")
+            await asyncio.sleep(0.05)
+            writer.write(b"ZZ\r\n")
+            answer = parse(await asyncio.wait_for(reader.read(), 5))
+            self.assertEqual(problem(answer)[0], 400)
+            self.assertLess(time.monotonic() - started, 1.8)
+            self.assertEqual(backend.received, [])
+            writer.close()
+
+
+class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_head_that_trickles_in_is_refused_in_time(self):
+        async with (
+            ScriptedBackend(reply()) as backend,
+            DataPath(backend, limits=SHORT) as path,
+        ):
+            reader, writer = await path.connect()
+            started = time.monotonic()
+            writer.write(b"GET / HTTP/1.1\r\n")
+            for _ in range(5):
+                await asyncio.sleep(0.05)
+                writer.write(b"X: 1\r\n")
+            answer = parse(await asyncio.wait_for(reader.read(), 3))
+            self.assertEqual(problem(answer)[0], 408)
+            self.assertLess(time.monotonic() - started, 2)
+            writer.close()
+
+    async def test_body_without_progress_is_refused_as_not_run(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc"
+        async with (
+            ScriptedBackend(reply()) as backend,
+            DataPath(backend, limits=SHORT) as path,
+        ):
+            status, document = problem(parse(await path.exchange(head)))
+            self.assertEqual((status, document["run"]), (408, "not_run"))
+            self.assertEqual(backend.received, [])
+
+    async def test_large_body_that_stops_is_refused_as_unknown(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"
+        async with (
+            ScriptedBackend(reply()) as backend,
+            DataPath(backend, limits=SHORT) as path,
+        ):
+            answer = parse(await path.exchange(head + b"x" * 100_000))
+            status, document = problem(answer)
+            self.assertEqual((status, document["run"]), (408, "unknown"))
+
+    async def test_caller_that_does_not_read_is_cut_off(self):
+        async with (
+            ScriptedBackend(reply(b"x" * 30_000_000)) as backend,
+            DataPath(backend, limits=SHORT) as path,
+        ):
+            _, writer = await path.connect()
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.wait_for(backend.closed.wait(), 2)
+            await asyncio.sleep(0.05)
+            self.assertEqual(path.listener.in_flight(), 0)
+            writer.close()
+
+
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_pipelined_requests_are_answered_in_order(self):
+        async def script(received, reader, writer):
+            path = received.head.split(b" ")[1]
+            await asyncio.sleep(0.03 if path == b"/1" else 0)
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(path)
+            writer.write(head + path)
+
+        async with ScriptedBackend(script) as backend, DataPath(backend) as path:
+            raw = b"".join(
+                b"GET /%d HTTP/1.1\r\nHost: h\r\n%b\r\n"
+                % (number, b"Connection: close\r\n" if number == 50 else b"")
+                for number in range(1, 51)
+            )
+            answers = (await path.exchange(raw)).split(b"HTTP/1.1 200 OK\r\n")[1:]
+            self.assertEqual(
+                [answer.rpartition(b"\r\n\r\n")[2] for answer in answers],
+                [b"/%d" % number for number in range(1, 51)],
+            )
+
+    async def test_continue_is_sent_only_when_the_body_is_wanted(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        head += b"Expect: 100-continue\r\nConnection: close\r\n\r\n"
+        async with ScriptedBackend(reply()) as backend, DataPath(backend) as path:
+            reader, writer = await path.connect()
+            writer.write(head)
+            self.assertEqual(
+                await reader.readexactly(25), b"HTTP/1.1 100 Continue\r\n\r\n"
+            )
+            writer.write(b"abc")
+            self.assertEqual(parse(await reader.read())[0], 200)
+            self.assertEqual(backend.received[0].body, b"abc")
+            self.assertNotIn(b"Expect", backend.received[0].head)
+            writer.close()
+
+    async def test_refusal_before_the_body_sends_no_continue(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n"
+        async with ScriptedBackend(reply()) as backend, DataPath(backend) as path:
+            path.admission.refuse = True
+            raw = await path.exchange(head + b"Expect: 100-continue\r\n\r\n")
+            self.assertTrue(raw.startswith(b"HTTP/1.1 503 "), raw[:40])
+
+    async def test_http_1_0_caller_gets_no_chunked_coding(self):
+        raw = (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+        )
+
+        async def script(received, reader, writer):
+            writer.write(raw)
+
+        async with ScriptedBackend(script) as backend, DataPath(backend) as path:
+            answer = parse(await path.exchange(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n"))
+            self.assertNotIn("transfer-encoding", answer[1])
+            self.assertEqual(answer[2], b"ok")
+
+    async def test_caller_that_leaves_cancels_the_backend_request(self):
+        async def script(received, reader, writer):
+            await reader.read()
+            return False
+
+        async with ScriptedBackend(script) as backend, DataPath(backend) as path:
+            _, writer = await path.connect()
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            while not backend.received:
+                await asyncio.sleep(0.01)
+            writer.close()
+            await asyncio.wait_for(backend.closed.wait(), 1)
+            self.assertEqual(path.admission.released, 1)
+            self.assertEqual(len(path.router.outcomes), 1)
+
+
+class ShutdownTest(unittest.IsolatedAsyncioTestCase):
+    async def test_requests_in_flight_are_finished_and_idle_connections_closed(self):
+        async def script(received, reader, writer):
+            await asyncio.sleep(0.2)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+        async with ScriptedBackend(script) as backend, DataPath(backend) as path:
+            idle_reader, idle_writer = await path.connect()
+            reader, writer = await path.connect()
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.05)
+            self.assertEqual(await path.listener.stop(5), 0)
+            status, headers, body = parse(await reader.read())
+            self.assertEqual((status, body), (200, b"ok"))
+            self.assertEqual(headers["connection"], "close")
+            self.assertEqual(await idle_reader.read(), b"")
+            with self.assertRaises(ConnectionError):
+                await path.connect()
+            idle_writer.close()
+            writer.close()
+
+    async def test_requests_that_outlast_the_limit_are_counted(self):
+        async def script(received, reader, writer):
+            await reader.read()
+            return False
+
+        async with ScriptedBackend(script) as backend, DataPath(backend) as path:
+            _, writer = await path.connect()
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            while not backend.received:
+                await asyncio.sleep(0.01)
+            self.assertEqual(await path.listener.stop(0.1), 1)
+            writer.close()
--- /dev/null
+++ b/tests/proxying/_path.py
@@ -0,0 +1,179 @@
+"""A whole data path with fakes in place of the decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from geraniumbend.adapters.http_listener import HttpListener
+from geraniumbend.adapters.http_upstream import HttpUpstream
+from geraniumbend.errors import RefusedError
+from geraniumbend.model import Configuration, Group, RetrySettings, Rule, RuleMatch
+from geraniumbend.proxying import Proxy, ProxyParts
+from geraniumbend.routing import ServerView
+from geraniumbend.settings import ListenSettings
+from geraniumbend.timers import LoopTimers
+
+
+class FakeRouter:
+    """Chooses servers in the order given and records outcomes."""
+
+    def __init__(self, servers):
+        self.views = [ServerView(server, 0.0) for server in servers]
+        self.outcomes = []
+        self.started = 0
+
+    def choose(self, group, request_class, excluded, deadline_s, trial=True):
+        for view in self.views:
+            if view.server_id not in excluded:
+                return view
+        raise RefusedError("no server left")
+
+    def start_request(self, view, request_class):
+        self.started += 1
+
+    def finish_request(self, view, request_class, outcome):
+        self.outcomes.append((view.server_id, outcome))
+
+    def observe_report(self, view, header_value):
+        view.report = header_value
+
+
+class FakeAdmission:
+    def __init__(self):
+        self.requests = []
+        self.released = 0
+        self.refuse = False
+
+    async def admit(self, request):
+        self.requests.append(request)
+        if self.refuse:
+            raise RefusedError("full", retry_after_s=0.4)
+        return self
+
+    def release(self, outcome):
+        self.released += 1
+
+
+class FakeBudget:
+    def __init__(self):
+        self.left = 100
+        self.earned = 0
+
+    def spend(self, group):
+        self.left -= 1
+        return self.left >= 0
+
+    def earn(self, group):
+        self.earned += 1
+
+
+class FakeQuarantine:
+    def __init__(self):
+        self.losses = []
+        self.blocked = set()
+
+    def check(self, fingerprint):
+        if fingerprint in self.blocked:
+            raise RefusedError("in quarantine", kind="quarantined")
+
+    async def report_loss(self, fingerprint, server_id):
+        self.losses.append((fingerprint, server_id))
+
+    def report_success(self, fingerprint):
+        pass
+
+
+class FakeConfiguration:
+    def __init__(self, rules):
+        groups = {"g": Group("g", "app=x")}
+        self.current = Configuration(1, groups, {rule.name: rule for rule in rules})
+
+
+class DataPath:
+    """Listener, proxy and upstream in front of scripted backends."""
+
+    def __init__(self, *backends, rule=None, limits=None, orders=None):
+        rule = rule or Rule("r", "g", RuleMatch(path_prefix="/"), deadline_s=2.0)
+        self.rule = rule
+        self.backends = backends
+        self.limits = limits
+        self.orders = orders
+        self.configuration = FakeConfiguration([rule])
+        self.admission = FakeAdmission()
+        self.budget = FakeBudget()
+        self.quarantine = FakeQuarantine()
+
+    async def __aenter__(self):
+        timers = LoopTimers()
+        servers = [
+            backend.describe()._replace(server_id=f"b{number}")
+            for number, backend in enumerate(self.backends, start=1)
+        ]
+        self.router = FakeRouter(servers)
+        self.upstream = HttpUpstream(timers, lambda: 1.0)
+        parts = ProxyParts(
+            self.configuration,
+            self.router,
+            self.admission,
+            self.budget,
+            self.quarantine,
+            self.upstream,
+            self.orders,
+            timers,
+        )
+        self.proxy = Proxy(parts, node="gateway-0", body_idle_timeout_s=1.0)
+        self.listener = HttpListener(self.proxy.handle, ListenSettings(), self.limits)
+        await self.listener.start()
+        return self
+
+    async def __aexit__(self, *unused):
+        await self.listener.stop(0.5)
+        await self.upstream.close()
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.listener.port)
+
+    async def exchange(self, raw):
+        """Send bytes and return everything up to the end of the connection."""
+        reader, writer = await self.connect()
+        writer.write(raw)
+        try:
+            return await asyncio.wait_for(reader.read(), 5)
+        finally:
+            writer.close()
+
+    async def get(self, path="/", *lines, method="GET", body=b""):
+        """Send one request and return status, headers and body."""
+        head = [f"{method} {path} HTTP/1.1", "Host: h", "Connection: close", *lines]
+        if body:
+            head.append(f"Content-Length: {len(body)}")
+        raw = "\r\n".join(head).encode() + b"\r\n\r\n" + body
+        return parse(await self.exchange(raw))
+
+
+def parse(raw):
+    """Return status, headers by lower-case name, and body of one answer."""
+    head, _, body = raw.partition(b"\r\n\r\n")
+    start, *lines = head.decode().split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(": ")
+        headers[name.lower()] = value
+    return int(start.split(" ")[1]), headers, body
+
+
+def problem(answer):
+    """Return the status and the problem document of a refusal."""
+    status, headers, body = answer
+    assert headers["content-type"] == "application/problem+json", headers
+    document = json.loads(body)
+    assert document["status"] == status
+    return status, document
+
+
+def make_rule(**fields):
+    """Return a rule that matches every path, with short times."""
+    retry = fields.pop("retry", RetrySettings(attempts=2, hedge=False))
+    match = RuleMatch(path_prefix="/")
+    return Rule("r", "g", match, retry=retry, **{"deadline_s": 2.0, **fields})
--- /dev/null
+++ b/tests/proxying/test_proxy.py
@@ -0,0 +1,306 @@
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from geraniumbend.model import RetrySettings
+from tests.adapters._backend import ScriptedBackend, reply, send_raw
+from tests.proxying._path import DataPath, make_rule, parse, problem
+
+SHED = b"HTTP/1.1 503 S\r\nContent-Length: 0\r\nRequest-Not-Run: 1\r\n\r\n"
+FAILED = b"HTTP/1.1 500 F\r\nContent-Length: 3\r\n\r\nbad"
+
+
+async def drop(received, reader, writer):
+    return False
+
+
+async def hang(received, reader, writer):
+    await reader.read()
+    return False
+
+
+class ForwardTest(unittest.IsolatedAsyncioTestCase):
+    async def test_end_to_end_fields_pass_and_hop_by_hop_fields_do_not(self):
+        raw = (
+            b"HTTP/1.1 200 Fine\r\nContent-Length: 2\r\nX-Own: \xe9\r\n"
+            b"Connection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nSet-Cookie: a=b\r\n"
+            b"endpoint-load-metrics: TEXT named_metrics.in_flight=3\r\n\r\nok"
+        )
+        sent = ("X-Own: 1", "Connection: close, X-Drop", "X-Drop: 1", "TE: trailers")
+        async with ScriptedBackend(send_raw(raw)) as backend, DataPath(backend) as path:
+            lines = "\r\n".join(["GET /p?q=%20 HTTP/1.1", "Host: h", *sent])
+            lines += "\r\nX-Forwarded-For: 9.9.9.9\r\nX-Request-Id: id-1\r\n\r\n"
+            answer = await path.exchange(lines.encode())
+            self.assertIn(b"X-Own: \xe9\r\n", answer)
+            self.assertIn(b"Set-Cookie: a=b\r\n", answer)
+            self.assertIn(b"X-Request-Id: id-1\r\n", answer)
+            for absent in (b"X-Hop", b"Keep-Alive", b"endpoint-load-metrics"):
+                self.assertNotIn(absent, answer)
+            head = backend.received[0].head
+            self.assertTrue(head.startswith(b"GET /p?q=%20 HTTP/1.1\r\nHost: h\r\n"))
+            self.assertIn(b"X-Own: 1\r\n", head)
+            self.assertIn(b"X-Forwarded-For: 9.9.9.9, 127.0.0.1\r\n", head)
+            self.assertIn(b"X-Forwarded-Proto: http\r\n", head)
+            self.assertIn(b"X-Request-Id: id-1\r\n", head)
+            for absent in (b"X-Drop", b"TE:", b"Connection:", b"Content-Length"):
+                self.assertNotIn(absent, head)
+            self.assertIn("in_flight=3", path.router.views[0].report)
+
+    async def test_cookies_redirects_and_coded_bodies_pass_untouched(self):
+        raw = (
+            b"HTTP/1.1 302 Found\r\nLocation: /else\r\nSet-Cookie: s=1\r\n"
+            b"Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nnope"
+        )
+        async with ScriptedBackend(send_raw(raw)) as backend, DataPath(backend) as path:
+            status, headers, body = await path.get()
+            self.assertEqual((status, headers["location"]), (302, "/else"))
+            self.assertEqual((headers["content-encoding"], body), ("gzip", b"nope"))
+            await path.get()
+            self.assertEqual(len(backend.received), 2)
+            self.assertNotIn(b"Cookie", backend.received[1].head)
+            self.assertNotIn(b"User-Agent", backend.received[1].head)
+            self.assertNotIn(b"Accept", backend.received[1].head)
+
+    async def test_bodies_arrive_whole_with_either_framing(self):
+        for size in (0, 5, 300_000):
+            body = b"x" * size
+            async with (
+                ScriptedBackend(reply(body)) as backend,
+                DataPath(backend) as path,
+            ):
+                answer = await path.get(method="POST", body=body)
+                self.assertEqual((answer[0], len(answer[2])), (200, size))
+                chunked = b"%x\r\n%b\r\n" % (size, body) if size else b""
+                raw = b"PUT / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                raw += b"Transfer-Encoding: chunked\r\n\r\n" + chunked
+                answer = parse(await path.exchange(raw + b"0\r\n\r\n"))
+                self.assertEqual((answer[0], len(answer[2])), (200, size))
+                for received in backend.received:
+                    self.assertEqual(len(received.body), size)
+
+    async def test_head_and_bodiless_answers_keep_their_fields(self):
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n"
+        async with ScriptedBackend(send_raw(raw)) as backend, DataPath(backend) as path:
+            status, headers, body = await path.get(method="HEAD")
+            self.assertEqual(
+                (status, headers["content-length"], body), (200, "99", b"")
+            )
+        raw = b"HTTP/1.1 304 Not Modified\r\nETag: x\r\n\r\n"
+        async with ScriptedBackend(send_raw(raw)) as backend, DataPath(backend) as path:
+            status, headers, body = await path.get()
+            self.assertEqual((status, headers["etag"], body), (304, "x", b""))
+            self.assertNotIn("transfer-encoding", headers)
+
+    async def test_truncated_answer_does_not_look_whole(self):
+        # Chunked, with a length, and ended by the connection for an HTTP/1.0 caller.
+        for head in (
+            b"Transfer-Encoding: chunked\r\n\r\n4\r\n",
+            b"Content-Length: 9\r\n\r\n",
+        ):
+            raw = b"HTTP/1.1 200 OK\r\n" + head + b"part"
+
+            async def script(received, reader, writer, raw=raw):
+                writer.write(raw)
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                return False
+
+            async with ScriptedBackend(script) as backend, DataPath(backend) as path:
+                for version in (b"1.0", b"1.1"):
+                    request = b"GET / HTTP/%b\r\nHost: h\r\n\r\n" % version
+                    with self.assertRaises(ConnectionResetError):
+                        await path.exchange(request)
+
+    async def test_line_breaks_in_answer_fields_are_not_passed_on(self):
+        raw = b"HTTP/1.1 200 OK\r\nX: a\rSet-Cookie: b\r\nContent-Length: 0\r\n\r\n"
+        async with ScriptedBackend(send_raw(raw)) as backend, DataPath(backend) as path:
+            status, document = problem(await path.get(method="POST"))
+            self.assertEqual((status, document["run"]), (502, "unknown"))
+
+    async def test_no_rule_is_404_and_bad_timeout_is_400(self):
+        async with ScriptedBackend(reply()) as backend, DataPath(backend) as path:
+            for value in ("x", "-1", "nan", "inf", "0"):
+                answer = await path.get("/", f"Request-Timeout: {value}")
+                self.assertEqual(problem(answer)[0], 400)
+            path.configuration.current = path.configuration.current._replace(rules={})
+            self.assertEqual(problem(await path.get())[0], 404)
+            self.assertEqual(backend.received, [])
+
+    async def test_deadline_is_passed_on_and_ends_the_request(self):
+        async with ScriptedBackend(hang) as backend, DataPath(backend) as path:
+            started = time.monotonic()
+            answer = await path.get("/", "Request-Timeout: 0.2")
+            status, document = problem(answer)
+            self.assertEqual((status, document["run"]), (504, "unknown"))
+            self.assertLess(time.monotonic() - started, 1)
+            self.assertRegex(
+                backend.received[0].head, rb"Request-Timeout: 0\.(2|1\d\d|200)"
+            )
+
+    async def test_early_answer_to_an_unfinished_upload_is_delivered(self):
+        raw = b"HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig"
+
+        async def accept(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(raw)
+            while await reader.read(65536):
+                pass
+            writer.close()
+
+        async with ScriptedBackend(reply()) as backend:
+            backend._server.close()
+            server = await asyncio.start_server(accept, "127.0.0.1", backend.port)
+            async with DataPath(backend) as path:
+                head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\n"
+                reader, writer = await path.connect()
+                writer.write(head + b"x" * 100_000)
+                answer = await asyncio.wait_for(reader.readuntil(b"big"), 2)
+                self.assertEqual(parse(answer)[0], 413)
+                writer.close()
+            server.close()
+
+
+class RetryTest(unittest.IsolatedAsyncioTestCase):
+    async def check(self, first, method="GET", rule=None, calls=2, budget=100):
+        """Return the answer of a good second server after a first one that fails."""
+        async with (
+            ScriptedBackend(first) as one,
+            ScriptedBackend(reply()) as two,
+            DataPath(one, two, rule=rule or make_rule()) as path,
+        ):
+            path.budget.left = budget
+            answer = await path.get(method=method, body=b"x" * (method == "POST"))
+            self.assertEqual(len(one.received) + len(two.received), calls)
+            self.assertEqual(len(path.router.outcomes), path.router.started)
+            self.losses = path.quarantine.losses
+            return answer
+
+    async def test_safe_request_is_retried_elsewhere(self):
+        for first in (drop, send_raw(FAILED), send_raw(SHED)):
+            self.assertEqual((await self.check(first))[0], 200)
+
+    async def test_unsafe_request_that_may_have_run_is_not_retried(self):
+        status, document = problem(await self.check(drop, "POST", calls=1))
+        self.assertEqual((status, document["run"]), (502, "unknown"))
+        answer = await self.check(send_raw(FAILED), "POST", calls=1)
+        self.assertEqual((answer[0], answer[2]), (500, b"bad"))
+
+    async def test_unsafe_request_that_was_shed_is_retried(self):
+        self.assertEqual((await self.check(send_raw(SHED), "POST"))[0], 200)
+
+    async def test_retries_stop_at_the_budget_and_at_the_rule(self):
+        answer = await self.check(send_raw(FAILED), calls=1, budget=0)
+        self.assertEqual(answer[2], b"bad")
+        rule = make_rule(retry=RetrySettings(1, False))
+        answer = await self.check(send_raw(SHED), "POST", rule=rule, calls=1)
+        status, document = problem(answer)
+        self.assertEqual((status, document["run"]), (503, "not_run"))
+        self.assertIn("retry-after", answer[1])
+
+    async def test_refusal_after_an_unknown_attempt_says_unknown(self):
+        # The second server is provably not reached; the first may have run it.
+        async with ScriptedBackend(drop) as one, ScriptedBackend(reply()) as two:
+            two.stop_listening()
+            async with DataPath(one, two, rule=make_rule()) as path:
+                document = problem(await path.get())[1]
+                self.assertEqual(document["run"], "unknown")
+
+    async def test_unreachable_servers_are_refused_as_not_run(self):
+        async with ScriptedBackend(drop) as one, ScriptedBackend(reply()) as two:
+            one.stop_listening()
+            two.stop_listening()
+            async with DataPath(one, two, rule=make_rule()) as path:
+                answer = await path.get(method="POST", body=b"x")
+                status, document = problem(answer)
+                self.assertEqual((status, document["run"]), (503, "not_run"))
+
+    async def test_lost_server_is_reported_before_the_next_attempt(self):
+        async def crash(received, reader, writer):
+            one.stop_listening()
+            return False
+
+        async with (
+            ScriptedBackend(crash) as one,
+            ScriptedBackend(reply()) as two,
+            DataPath(one, two, rule=make_rule()) as path,
+        ):
+            self.assertEqual((await path.get())[0], 200)
+            self.assertEqual([loss[1] for loss in path.quarantine.losses], ["b1"])
+            path.quarantine.blocked = {path.quarantine.losses[0][0]}
+            document = problem(await path.get())[1]
+            self.assertEqual(document["run"], "not_run")
+
+    async def test_refusal_of_admission_is_not_run_with_retry_after(self):
+        async with ScriptedBackend(reply()) as backend, DataPath(backend) as path:
+            path.admission.refuse = True
+            answer = await path.get("/", "Sheet-Open: s1", "Authorization: me")
+            status, document = problem(answer)
+            self.assertEqual((status, document["run"]), (503, "not_run"))
+            self.assertEqual(answer[1]["retry-after"], "1")
+            request = path.admission.requests[0]
+            self.assertEqual((request.sheet, request.caller), ("s1", "me"))
+            self.assertEqual(backend.received, [])
+
+
+class HedgeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.slow = False
+
+        async def script(received, reader, writer):
+            if self.slow:
+                await reader.read()
+                return False
+            await asyncio.sleep(0.01)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none")
+
+        self.one = ScriptedBackend(script)
+        self.two = ScriptedBackend(reply(b"two"))
+        await self.one.__aenter__()
+        await self.two.__aenter__()
+        rule = make_rule(retry=RetrySettings(2, True))
+        self.path = DataPath(self.one, self.two, rule=rule)
+        await self.path.__aenter__()
+        for _ in range(32):
+            self.assertEqual((await self.path.get())[2], b"one")
+
+    async def asyncTearDown(self):
+        await self.path.__aexit__()
+        await self.one.__aexit__()
+        await self.two.__aexit__()
+
+    async def test_slow_request_is_answered_by_the_hedge_and_its_loser_is_cancelled(
+        self,
+    ):
+        self.slow = True
+        self.one.closed.clear()
+        started = time.monotonic()
+        self.assertEqual((await self.path.get())[2], b"two")
+        self.assertLess(time.monotonic() - started, 0.2)
+        await asyncio.wait_for(self.one.closed.wait(), 1)
+        self.assertEqual(len(self.path.router.outcomes), self.path.router.started)
+        self.assertEqual(self.path.admission.released, 33)
+
+    async def test_hedge_needs_budget_and_a_safe_method(self):
+        self.slow = True
+        answer = await self.path.get("/", "Request-Timeout: 0.2", method="POST")
+        self.assertEqual(answer[0], 504)
+        self.path.budget.left = 0
+        answer = await self.path.get("/", "Request-Timeout: 0.2")
+        self.assertEqual(answer[0], 504)
+        self.assertEqual(self.two.received, [])
+
+    async def test_caller_that_leaves_cancels_both_attempts(self):
+        self.slow = True
+        self.two.script = hang
+        _, writer = await self.path.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not self.two.received:
+            await asyncio.sleep(0.01)
+        self.one.closed.clear()
+        self.two.closed.clear()
+        writer.close()
+        await asyncio.wait_for(self.one.closed.wait(), 1)
+        await asyncio.wait_for(self.two.closed.wait(), 1)
+        self.assertEqual(len(self.path.router.outcomes), self.path.router.started)
