Assemble the gateway from membership, routing, admission and the data path

Cause: the first gateway chose servers at random from a local list.

Change: Gateway joins the cluster, follows the configuration, takes announcements with checked documents, and shuts down unready first. Retries stay off until the retry budget is there.

--- a/src/geraniumbend/proxying/__init__.py
+++ b/src/geraniumbend/proxying/__init__.py
@@ -4,7 +4,6 @@
 
 from geraniumbend.proxying._headers import parse_request_timeout
 from geraniumbend.proxying._ports import (
-    AdmissionRequest,
     Answer,
     BodySource,
     CallerLostError,
@@ -21,7 +20,6 @@
 )
 
 __all__ = [
-    "AdmissionRequest",
     "Answer",
     "BodySource",
     "CallerLostError",
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping, Sequence
 
+    from geraniumbend.admission import AdmissionRequest
     from geraniumbend.model import BackendServer, Configuration
     from geraniumbend.routing import Outcome, ServerView
 
@@ -246,30 +247,6 @@
         ...
 
 
-class AdmissionRequest(NamedTuple):
-    """What admission looks at.
-
-    Parameters
-    ----------
-    group : str
-        Name of the group.
-    request_class : str
-        Class of the request.
-    sheet : str
-        Id of one open of a sheet, empty when absent.
-    caller : str
-        Identity of the caller.
-    deadline : float
-        Reading of the timer service's clock at which the answer is due.
-    """
-
-    group: str
-    request_class: str
-    sheet: str
-    caller: str
-    deadline: float
-
-
 class TicketPort(Protocol):
     """Permission to send one request."""
 
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
+from geraniumbend.admission import AdmissionRequest
 from geraniumbend.errors import RefusedError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.proxying._attempts import Attempts
@@ -10,11 +11,7 @@
 from geraniumbend.proxying._headers import choose_request_id, parse_request_timeout
 from geraniumbend.proxying._latencies import HeadLatencies
 from geraniumbend.proxying._order_flow import OrderFlow
-from geraniumbend.proxying._ports import (
-    AdmissionRequest,
-    CallerLostError,
-    UpstreamError,
-)
+from geraniumbend.proxying._ports import CallerLostError, UpstreamError
 from geraniumbend.proxying._relay import relay
 from geraniumbend.routing import Outcome, RequestFacts, RuleTable
 
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -1,24 +1,57 @@
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
 import msgspec
-from aiohttp import web
 
-from geraniumbend.adapters.rpc import RpcClients
-from geraniumbend.errors import UnavailableError
+from geraniumbend.adapters.announce_listener import AnnounceListener
+from geraniumbend.adapters.http_listener import HttpListener, create_client_context
+from geraniumbend.adapters.http_upstream import HttpUpstream
+from geraniumbend.adapters.rpc import RpcClients, RpcServer
+from geraniumbend.admission import Admission
+from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
+from geraniumbend.errors import GeraniumbendError
 from geraniumbend.keys import KeyRing
-from geraniumbend.model import BackendServer, Configuration
-from geraniumbend.routing import RequestFacts, RuleTable, parse_selector
+from geraniumbend.membership import Membership, Shares
+from geraniumbend.metrics import MetricSet
+from geraniumbend.model import Configuration
+from geraniumbend.proxying import Proxy, ProxyParts
+from geraniumbend.routing import LoadReport, Router, ServerTable
 from geraniumbend.timers import LoopTimers
 
 if TYPE_CHECKING:
+    from geraniumbend.membership import Announcement
+    from geraniumbend.model import BackendServer
     from geraniumbend.settings import Settings
 
+LOADS_PERIOD_S = 0.25
 POLL_PERIOD_S = 0.2
 POLL_TIMEOUT_S = 1.0
+ORDERS_POLL_S = 0.02
+
+
+class NoRetries:
+    """Retry budget that allows none."""
+
+    def spend(self, group: str) -> bool:
+        """Refuse the attempt."""
+        return False
+
+    def earn(self, group: str) -> None:
+        """Ignore the success."""
+
+
+class NoQuarantine:
+    """Quarantine that holds nothing."""
+
+    def check(self, fingerprint: str) -> None:
+        """Admit the request."""
+
+    async def report_loss(self, fingerprint: str, server_id: str) -> None:
+        """Ignore the loss."""
+
+    def report_success(self, fingerprint: str) -> None:
+        """Ignore the success."""
 
 
 class Gateway:
@@ -31,13 +64,51 @@
     """
 
     def __init__(self, settings: Settings) -> None:
-        self._settings = settings.gateway
-        self._clients = RpcClients(KeyRing.from_config(settings.keys))
-        self._timers = LoopTimers()
-        self._servers: dict[str, BackendServer] = {}
-        self._rules = RuleTable(Configuration())
-        self._session: aiohttp.ClientSession | None = None
-        self._runners: list[web.ServerRunner] = []
+        gateway = settings.gateway
+        keys = KeyRing.from_config(settings.keys)
+        listen = settings.peer.listen
+        self._settings = gateway
+        self._timers = timers = LoopTimers()
+        self._rpc = RpcServer(listen.host, listen.port, keys)
+        self._clients = RpcClients(keys)
+        self._membership = Membership.from_config(
+            settings, "gateway", self._clients, timers
+        )
+        self._shares = Shares.from_config(settings, self._membership, timers)
+        self._view = ConfigurationView(timers)
+        self._follower = ConfigurationFollower.from_config(
+            settings, self._clients, self._view, timers
+        )
+        self._table = ServerTable(timers)
+        self._router = Router.from_config(settings, self._table, self._shares, timers)
+        self._admission = Admission.from_config(
+            settings, self._table, self._shares, timers
+        )
+        self._upstream = HttpUpstream(
+            timers,
+            self._shares.gateway_share,
+            create_client_context(gateway.backend_tls) if gateway.backend_tls else None,
+        )
+        self._metrics = MetricSet()
+        parts = ProxyParts(
+            self._view,
+            self._router,
+            self._admission,
+            NoRetries(),
+            NoQuarantine(),
+            self._upstream,
+            None,
+            timers,
+        )
+        self._proxy = Proxy.from_config(settings, parts, self._create_observer())
+        self._callers = HttpListener.from_config(gateway, self._proxy.handle)
+        self._announce = AnnounceListener(gateway.announce, self)
+        self._loads: dict[str, float] = {}
+        self._draining = False
+        self._started = False
+        self._membership.register(self._rpc)
+        self._membership.subscribe_servers(self._update_servers)
+        self._view.subscribe(self._update_configuration)
 
     @classmethod
     def from_config(cls, settings: Settings) -> Gateway:
@@ -45,72 +116,119 @@
         return cls(settings)
 
     async def start(self) -> None:
-        """Listen for callers and announcements and follow the configuration."""
-        self._session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False
-        )
+        """Join the cluster, follow the configuration and listen."""
+        await self._rpc.start()
+        await self._announce.start()
+        await self._membership.start()
+        self._follower.start()
         self._timers.every(POLL_PERIOD_S, self._poll)
-        await self._listen(self._handle, self._settings.caller)
-        await self._listen(self._announce, self._settings.announce)
+        self._timers.every(LOADS_PERIOD_S, self._take_loads)
+        await self._callers.start()
+        self._started = True
 
     async def stop(self) -> None:
-        """Close all listeners after requests in flight have finished."""
-        for runner in self._runners:
-            await runner.cleanup()
-        if self._session is not None:
-            await self._session.close()
+        """Shut down without cutting off a request.
+
+        Readiness is withdrawn first and for `drain_delay_s`, so that the platform's
+        balancer chooses another gateway before connections are refused.
+        """
+        self._draining = True
+        self._callers.begin_drain()
+        await self._timers.sleep(self._settings.drain_delay_s)
+        limit_s = self._settings.drain_limit_s
+        end_s = self._timers.now() + limit_s
+        await self._callers.stop(limit_s)
+        while self._proxy.orders_in_flight() and self._timers.now() < end_s:
+            await self._timers.sleep(ORDERS_POLL_S)
+        await self._follower.stop()
+        await self._membership.stop()
+        await self._announce.stop()
+        await self._upstream.close()
         await self._clients.close()
+        await self._rpc.stop()
+
+    def announce(self, announcement: Announcement) -> object:
+        """Take an announcement of a backend server."""
+        return self._membership.announce(announcement)
+
+    def depart(self, server_id: str) -> object:
+        """Deregister a backend server."""
+        return self._membership.depart(server_id)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may send requests here."""
+        confirmed = self._follower.confirmed or self._view.current.revision > 0
+        return self._started and not self._draining and confirmed
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all parts."""
+        return {
+            "ready": self.is_ready(),
+            "draining": self._draining,
+            "configuration": self._follower.dump(),
+            "requests_in_flight": self._callers.in_flight(),
+            "orders_in_flight": self._proxy.orders_in_flight(),
+            "gateway_share": self._shares.gateway_share(),
+            "admission": self._admission.dump(),
+            "connections": self._upstream.dump(),
+            "membership": self._membership.dump(),
+        }
 
-    async def _listen(self, handler: Any, listen: Any) -> None:
-        runner = web.ServerRunner(web.Server(handler))
-        await runner.setup()
-        await web.TCPSite(runner, listen.host, listen.port).start()
-        self._runners.append(runner)
+    def render_metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return self._metrics.render()
+
+    def _create_observer(self) -> Any:
+        metrics = self._metrics
+        count = metrics.declare_counter(
+            "requests_total",
+            "Callers' requests by group, class and status; 0 when aborted.",
+            ("group", "request_class", "status"),
+        )
+        time = metrics.declare_histogram(
+            "request_seconds", "Time to answer callers' requests.", ("group",)
+        )
+        metrics.declare_gauge(
+            "requests_in_flight",
+            "Callers' requests that are being answered.",
+            lambda: {(): float(self._callers.in_flight())},
+        )
+
+        def observe(group: str, request_class: str, status: int, took_s: float) -> None:
+            count(group, request_class, str(status))
+            time(took_s, group)
+
+        return observe
+
+    def _update_servers(self, servers: dict[str, BackendServer]) -> None:
+        self._table.update(servers, self._view.current)
+        self._upstream.retain(servers.values())
+
+    def _update_configuration(self, configuration: Configuration) -> None:
+        self._table.update(self._membership.servers(), configuration)
+        self._membership.set_revision(configuration.revision)
+
+    def _take_loads(self) -> None:
+        """Hand announced loads to the views they are new for."""
+        for server_id, load in self._membership.loads().items():
+            view = self._table.view(server_id)
+            if view is None or self._loads.get(server_id) == load.received_at:
+                continue
+            self._loads[server_id] = load.received_at
+            if load.received_at > view.report_at:
+                report = LoadReport(float(load.in_flight), load.slots)
+                view.observe_report(report, load.received_at)
 
     async def _poll(self) -> None:
+        # Control processes that offer no subscription yet are asked for the whole.
+        if self._follower.confirmed:
+            return
         for address in self._settings.control:
             try:
                 body = await self._clients.call(
                     address, "configuration.get", b"", POLL_TIMEOUT_S
                 )
-            except UnavailableError:
+            except GeraniumbendError:
                 continue
-            configuration = msgspec.json.decode(body, type=Configuration)
-            if configuration.revision > self._rules.configuration.revision:
-                self._rules = RuleTable(configuration)
+            self._view.install(msgspec.json.decode(body, type=Configuration))
             return
-
-    async def _announce(self, request: web.BaseRequest) -> web.Response:
-        if request.path == "/readyz":
-            ready = self._rules.configuration.revision > 0
-            return web.Response(status=200 if ready else 503)
-        document = {**await request.json(), "server_id": request.path.split("/")[-1]}
-        fields = {
-            key: document[key] for key in BackendServer._fields if key in document
-        }
-        server = BackendServer(**fields)
-        self._servers[server.server_id] = server
-        return web.json_response({"lease_s": 10})
-
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        facts = RequestFacts(
-            request.host, request.path, request.method, request.headers
-        )
-        rule = self._rules.find(facts)
-        if rule is None:
-            return web.Response(status=404)
-        selector = parse_selector(self._rules.configuration.groups[rule.group].selector)
-        servers = [
-            server
-            for server in self._servers.values()
-            if selector.matches(server.labels) and not server.draining
-        ]
-        if not servers:
-            return web.Response(status=503)
-        server = random.choice(servers)
-        url = f"http://{server.host}:{server.port}{request.path_qs}"
-        assert self._session is not None
-        async with self._session.request(
-            request.method, url, data=await request.read(), allow_redirects=False
-        ) as upstream:
-            return web.Response(status=upstream.status, body=await upstream.read())
