--- a/src/geraniumbend/proxying/__init__.py
+++ b/src/geraniumbend/proxying/__init__.py
@@ -12,6 +12,7 @@
     UpstreamError,
     UpstreamRequest,
 )
+from geraniumbend.proxying._proxy import Proxy, ProxyParts
 from geraniumbend.proxying._refusals import (
     describe_refusal,
     describe_status,
@@ -23,6 +24,8 @@
     "BodySource",
     "CallerLostError",
     "CallerRequest",
+    "Proxy",
+    "ProxyParts",
     "Upstream",
     "UpstreamError",
     "UpstreamRequest",
