--- a/src/geraniumbend/_keys.py
+++ b/src/geraniumbend/_keys.py
@@ -30,12 +30,30 @@
     """
 
     def __init__(self, keys: Iterable[tuple[int, bytes]]) -> None:
+        self._secrets: dict[int, bytes] = {}
+        self.active = 0
+        self.replace(keys)
+
+    def replace(self, keys: Iterable[tuple[int, bytes]]) -> None:
+        """Use other keys from the next frame on; open connections go on.
+
+        Parameters
+        ----------
+        keys : iterable of (int, bytes)
+            Key numbers with their secrets; the first one signs.
+
+        Raises
+        ------
+        SettingsError
+            If a key is invalid, or a number in use gets another secret; the ring
+            stays as it is.
+        """
         pairs = list(keys)
         if not pairs:
             raise SettingsError("no cluster key is set", "add a [[keys]] table")
-        self._secrets: dict[int, bytes] = {}
+        secrets: dict[int, bytes] = {}
         for number, secret in pairs:
-            if not 0 <= number <= 255 or number in self._secrets:
+            if not 0 <= number <= 255 or number in secrets:
                 raise SettingsError(
                     f"cluster key number {number} is out of range or repeated",
                     "give each key its own number from 0 to 255",
@@ -45,7 +63,13 @@
                     f"cluster key {number} has fewer than {MIN_SECRET_BYTES} bytes",
                     "use at least 16 random bytes",
                 )
-            self._secrets[number] = secret
+            if self._secrets.get(number, secret) != secret:
+                raise SettingsError(
+                    f"cluster key {number} has another secret than before",
+                    "give the new secret a number of its own",
+                )
+            secrets[number] = secret
+        self._secrets = secrets
         self.active = pairs[0][0]
 
     @classmethod
--- a/src/geraniumbend/adapters/datagram.py
+++ b/src/geraniumbend/adapters/datagram.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import time
+from functools import lru_cache
 from typing import TYPE_CHECKING, NamedTuple
 
 from geraniumbend.adapters._datagram_frames import (
@@ -29,12 +31,18 @@
 MAX_PEERS = 8192
 # A forged address must not make this node send more than it receives.
 HELLO_INTERVAL_S = 0.05
+# A lost or suppressed hello is repeated a few times; dead peers get no more.
+HELLO_REPEAT_S = 0.08
+HELLO_REPEATS = 3
 
 declare_event(
     112, "datagram_rejected", "debug", "A datagram of a peer was dropped unread."
 )
 declare_event(
-    113, "datagram_not_sent", "debug", "A datagram could not be sent to an address."
+    113,
+    "datagram_not_sent",
+    "debug",
+    "A peer's address is malformed; nothing was sent.",
 )
 
 
@@ -87,6 +95,7 @@
         self._boots: dict[str, int] = {}
         self._pending: dict[str, list[bytes]] = {}
         self._last_hello: dict[str, float] = {}
+        self._repeating: set[str] = set()
         self._sent = self._received = self._rejected = 0
 
     @property
@@ -164,7 +173,7 @@
     def _accept(self, address: str, frame: Frame) -> None:
         if frame.receiver_boot != self._frames.boot:
             if frame.type == HELLO_ANSWER:
-                self._raise_boot(frame)
+                self._raise_boot(address, frame)
                 return
             known = self._frames.known_boot(frame.sender)
             if known > frame.sender_boot:
@@ -185,15 +194,30 @@
         if frame.type == DATA:
             self._callback(address, frame.payload)
 
-    def _raise_boot(self, frame: Frame) -> None:
+    def _raise_boot(self, address: str, frame: Frame) -> None:
         named = frame.payload == self._frames.node.to_bytes(8, "big")
         if named and frame.receiver_boot > self._frames.boot:
             self._frames.raise_boot(frame.receiver_boot)
             self._boots.clear()
+            self._repeat_hello(address, HELLO_REPEATS)
 
     def _say_hello(self, address: str) -> None:
         if self._may_hello(address):
             self._write(address, self._frames.seal(HELLO, 0, b""))
+            if address not in self._repeating:
+                self._repeat_hello(address, HELLO_REPEATS)
+
+    def _repeat_hello(self, address: str, left: int) -> None:
+        self._repeating.discard(address)
+        if left and address in self._pending and self._transport is not None:
+            self._repeating.add(address)
+            loop = asyncio.get_running_loop()
+            loop.call_later(HELLO_REPEAT_S, self._hello_again, address, left - 1)
+
+    def _hello_again(self, address: str, left: int) -> None:
+        if address in self._pending:
+            self._write(address, self._frames.seal(HELLO, 0, b""))
+        self._repeat_hello(address, left)
 
     def _may_hello(self, address: str) -> bool:
         now = time.monotonic()
@@ -207,11 +231,34 @@
     def _write(self, address: str, datagram: bytes) -> None:
         if self._transport is None:
             return
-        host, _, port = address.rpartition(":")
-        try:
-            self._transport.sendto(datagram, (host, int(port)))
-        except (OSError, ValueError, OverflowError) as error:
-            # An address comes from a peer's record and may be malformed.
-            log_event(113, peer=address, error=str(error))
+        target = parse_address(address)
+        if target is None:
+            log_event(113, peer=address)
             return
         self._sent += 1
+        self._transport.sendto(datagram, target)
+
+
+@lru_cache(maxsize=MAX_PEERS)
+def parse_address(address: str) -> tuple[str, int] | None:
+    """Return IP address and port, None when malformed.
+
+    An address may come from a peer's record; a wrong one would close the socket.
+
+    Parameters
+    ----------
+    address : str
+        Peer address as ``ip:port``.
+
+    Returns
+    -------
+    tuple of (str, int) or None
+        Address for the socket.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ip = ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        return None
+    return (str(ip), number) if 0 < number <= 65535 else None
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from geraniumbend.keys import KeyRing
     from geraniumbend.model import BackendServer
     from geraniumbend.ports import DatagramPort, RpcCaller
     from geraniumbend.settings import Settings
@@ -166,6 +167,7 @@
         clients: RpcCaller,
         timers: TimerService,
         port: DatagramPort | None = None,
+        keys: KeyRing | None = None,
     ) -> Membership:
         """Build the membership of a process.
 
@@ -181,6 +183,9 @@
             Clock and periods.
         port : DatagramPort or None, default=None
             Datagrams; a UDP socket on the peer listener's port when None.
+        keys : KeyRing or None, default=None
+            Keys of the UDP socket; the process shares one ring, so that a rotation
+            reaches all its sockets. A ring of the settings' keys when None.
 
         Returns
         -------
@@ -193,9 +198,9 @@
         boot = read_boot_time()
         node, peer = settings.node, settings.peer
         if port is None:
-            keys = KeyRing.from_config(settings.keys)
+            ring = keys or KeyRing.from_config(settings.keys)
             listen = peer.listen
-            port = Datagrams(node.name, listen.host, listen.port, keys, boot)
+            port = Datagrams(node.name, listen.host, listen.port, ring, boot)
         options = MembershipOptions(
             name=node.name,
             role=role,
