--- /dev/null
+++ b/bench/_raw_client.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from typing import NamedTuple, cast
+
+
+class Sample(NamedTuple):
+    """One measured request.
+
+    Parameters
+    ----------
+    status : int
+        Status code, 0 when the connection ended early.
+    seconds : float
+        Time from writing the request to the end of the answer.
+    """
+
+    status: int
+    seconds: float
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self._buffer = b""
+        self._waiter: asyncio.Future[int] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are no subclasses of asyncio.Transport.
+        self.transport = cast("asyncio.Transport", transport)
+
+    def send(self, request: bytes) -> asyncio.Future[int]:
+        assert self.transport is not None
+        self._buffer = b""
+        self._waiter = asyncio.get_running_loop().create_future()
+        self.transport.write(request)
+        return self._waiter
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        head, separator, body = self._buffer.partition(b"\r\n\r\n")
+        if not separator:
+            return
+        place = head.lower().find(b"content-length:")
+        length = int(head[place + 15 :].split(b"\r\n", 1)[0]) if place >= 0 else 0
+        if len(body) >= length:
+            self._finish(int(head[9:12]))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.transport = None
+        self._finish(0)
+
+    def _finish(self, status: int) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(status)
+
+
+class RawClient:
+    """Measuring HTTP client with little work of its own.
+
+    Answers need Content-Length. Connections are kept and used again.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._idle: deque[_Connection] = deque()
+
+    async def measure(self, path: str, timeout_s: float = 10.0) -> Sample:
+        """Send one GET request and measure it.
+
+        Parameters
+        ----------
+        path : str
+            Path with query.
+        timeout_s : float, default=10.0
+            Longest wait in seconds.
+
+        Returns
+        -------
+        Sample
+            Status 0 when no whole answer came.
+        """
+        request = f"GET {path} HTTP/1.1\r\nHost: bench\r\n\r\n".encode()
+        started_s = time.perf_counter()
+        connection = await self._connect()
+        waiter = connection.send(request)
+        try:
+            async with asyncio.timeout(timeout_s):
+                status = await waiter
+        except TimeoutError:
+            status = 0
+        seconds = time.perf_counter() - started_s
+        if connection.transport is not None:
+            if status:
+                self._idle.append(connection)
+            else:
+                connection.transport.close()
+        return Sample(status, seconds)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        for connection in self._idle:
+            if connection.transport is not None:
+                connection.transport.close()
+
+    async def _connect(self) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.transport is not None:
+                return connection
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            _Connection, self._host, self._port
+        )
+        return connection
+
+
+def take_quantile(values: list[float], quantile: float) -> float:
+    """Return a quantile of the values, by the nearest rank."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
--- /dev/null
+++ b/bench/_raw_server.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import cast
+
+import aiohttp
+import uvloop
+
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 512\r\n\r\n"
+    + b"x" * 512
+)
+ANNOUNCE_PERIOD_S = 1.0
+
+
+class _Answering(asyncio.Protocol):
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are no subclasses of asyncio.Transport.
+        self._transport = cast("asyncio.Transport", transport)
+        self._buffer = b""
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        while True:
+            _, separator, rest = self._buffer.partition(b"\r\n\r\n")
+            if not separator:
+                return
+            self._buffer = rest
+            self._transport.write(ANSWER)
+
+
+async def serve(port: int, announce_to: str, slots: int) -> None:
+    """Answer every GET request at once and announce to one gateway.
+
+    Parameters
+    ----------
+    port : int
+        Loopback port.
+    announce_to : str
+        ``ip:port`` of an announce listener.
+    slots : int
+        Announced slots.
+    """
+    loop = asyncio.get_running_loop()
+    await loop.create_server(_Answering, "127.0.0.1", port)
+    url = f"http://{announce_to}/v1/backend-servers/raw-{port}"
+    labels = {"app": "raw"}
+    document = {"host": "127.0.0.1", "port": port, "labels": labels, "slots": slots}
+    timeout = aiohttp.ClientTimeout(total=2)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
+            try:
+                async with session.put(url, json=document) as answer:
+                    await answer.read()
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            await asyncio.sleep(ANNOUNCE_PERIOD_S)
+
+
+async def start_raw_server(
+    port: int, announce_to: str, slots: int = 64
+) -> asyncio.subprocess.Process:
+    """Start `serve` in a process of its own."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "bench._raw_server",
+        str(port),
+        announce_to,
+        str(slots),
+        cwd=Path(__file__).resolve().parent.parent,
+    )
+
+
+if __name__ == "__main__":
+    uvloop.run(serve(int(sys.argv[1]), sys.argv[2], int(sys.argv[3])))
