Use the retry budget and the quarantine in the gateway

Change: every attempt enters the quarantine and leaves it at its end; a hedge that the quarantine does not allow leaves the first attempt's error in place.

--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -170,9 +170,17 @@
         ------
         UpstreamError
             If no answer arrived; the attempt is finished.
+        RefusedError
+            If the request is in quarantine; the attempt is finished.
         """
         rule = context.rule
+        fingerprint = context.fingerprint
         silence_s = self._latencies.silence_bound(rule.group, rule.request_class)
+        try:
+            await self._quarantine.enter(fingerprint)
+        except BaseException:
+            self.finish(attempt, context)
+            raise
         context.unresolved += 1
         try:
             answer = await self._upstream.send(
@@ -184,11 +192,12 @@
                 context.unresolved -= 1
             self.finish(attempt, context, failed=True)
             if error.server_lost:
-                await self._quarantine.report_loss(
-                    context.fingerprint, attempt.view.server_id
-                )
+                server_id = attempt.view.server_id
+                await self._quarantine.report_loss(fingerprint, server_id)
+            self._quarantine.leave(fingerprint)
             raise
         except BaseException:
+            self._quarantine.leave(fingerprint)
             self.finish(attempt, context)
             raise
         attempt.answer = answer
@@ -197,7 +206,7 @@
         report = answer.headers.get(REPORT_HEADER)
         if report is not None:
             self._router.observe_report(attempt.view, report)
-        self._quarantine.report_success(context.fingerprint)
+        self._quarantine.report_success(fingerprint)
 
     def finish(
         self, attempt: Attempt, context: RequestContext, failed: bool = False
--- a/src/geraniumbend/proxying/_hedge.py
+++ b/src/geraniumbend/proxying/_hedge.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from geraniumbend.errors import RefusedError
 from geraniumbend.proxying._ports import UpstreamError
 
 if TYPE_CHECKING:
@@ -63,12 +64,15 @@
                 return self._second.result()
             self._drop_second()
             raise
-        except UpstreamError:
+        except UpstreamError as error:
             self._waiting = False
             if self._second is None:
                 raise
             try:
                 return await self._second
+            except RefusedError:
+                # The hedge was not allowed to run; the first attempt's error counts.
+                raise error from None
             except asyncio.CancelledError:
                 self._drop_second()
                 raise
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -238,6 +238,14 @@
         """Raise RefusedError if the request is in quarantine."""
         ...
 
+    async def enter(self, fingerprint: str) -> None:
+        """Wait until the request may run; raises RefusedError if it must not."""
+        ...
+
+    def leave(self, fingerprint: str) -> None:
+        """End the run that `enter` allowed."""
+        ...
+
     async def report_loss(self, fingerprint: str, server_id: str) -> None:
         """Tell all gateways that a server was lost to a request."""
         ...
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -16,6 +16,8 @@
 from geraniumbend.metrics import MetricSet
 from geraniumbend.model import Configuration
 from geraniumbend.proxying import Proxy, ProxyParts
+from geraniumbend.quarantine import Quarantine
+from geraniumbend.retries import RetryBudget
 from geraniumbend.routing import LoadReport, Router, ServerTable
 from geraniumbend.timers import LoopTimers
 
@@ -30,30 +32,6 @@
 ORDERS_POLL_S = 0.02
 
 
-class NoRetries:
-    """Retry budget that allows none."""
-
-    def spend(self, group: str) -> bool:
-        """Refuse the attempt."""
-        return False
-
-    def earn(self, group: str) -> None:
-        """Ignore the success."""
-
-
-class NoQuarantine:
-    """Quarantine that holds nothing."""
-
-    def check(self, fingerprint: str) -> None:
-        """Admit the request."""
-
-    async def report_loss(self, fingerprint: str, server_id: str) -> None:
-        """Ignore the loss."""
-
-    def report_success(self, fingerprint: str) -> None:
-        """Ignore the success."""
-
-
 class Gateway:
     """One gateway process.
 
@@ -89,13 +67,17 @@
             self._shares.gateway_share,
             create_client_context(gateway.backend_tls) if gateway.backend_tls else None,
         )
+        self._budget = RetryBudget.from_config(
+            settings, self._membership, self._shares, timers
+        )
+        self._quarantine = Quarantine.from_config(settings, self._membership, timers)
         self._metrics = MetricSet()
         parts = ProxyParts(
             self._view,
             self._router,
             self._admission,
-            NoRetries(),
-            NoQuarantine(),
+            self._budget,
+            self._quarantine,
             self._upstream,
             None,
             timers,
@@ -170,6 +152,7 @@
             "orders_in_flight": self._proxy.orders_in_flight(),
             "gateway_share": self._shares.gateway_share(),
             "admission": self._admission.dump(),
+            "quarantine": [entry._asdict() for entry in self._quarantine.entries()],
             "connections": self._upstream.dump(),
             "membership": self._membership.dump(),
         }
--- a/tests/proxying/_path.py
+++ b/tests/proxying/_path.py
@@ -72,16 +72,25 @@
     def __init__(self):
         self.losses = []
         self.blocked = set()
+        self.entered = 0
+        self.left = 0
 
     def check(self, fingerprint):
         if fingerprint in self.blocked:
             raise RefusedError("in quarantine", kind="quarantined")
 
+    async def enter(self, fingerprint):
+        self.check(fingerprint)
+        self.entered += 1
+
+    def leave(self, fingerprint):
+        self.left += 1
+
     async def report_loss(self, fingerprint, server_id):
         self.losses.append((fingerprint, server_id))
 
     def report_success(self, fingerprint):
-        pass
+        self.left += 1
 
 
 class FakeConfiguration:
--- a/tests/proxying/test_proxy.py
+++ b/tests/proxying/test_proxy.py
@@ -280,6 +280,7 @@
         self.assertLess(time.monotonic() - started, 0.2)
         await asyncio.wait_for(self.one.closed.wait(), 1)
         self.assertEqual(len(self.path.router.outcomes), self.path.router.started)
+        self.assertEqual(self.path.quarantine.left, self.path.quarantine.entered)
         self.assertEqual(self.path.admission.released, 33)
 
     async def test_hedge_needs_budget_and_a_safe_method(self):
@@ -304,3 +305,4 @@
         await asyncio.wait_for(self.one.closed.wait(), 1)
         await asyncio.wait_for(self.two.closed.wait(), 1)
         self.assertEqual(len(self.path.router.outcomes), self.path.router.started)
+        self.assertEqual(self.path.quarantine.left, self.path.quarantine.entered)
