Add commands for state, live view, tokens and keys

Cause: operators need to see what each process does and to make secrets. Change: state, top, token new, token hash and key new. Measured: tests of the command line pass, 8 tests.

--- a/src/geraniumbend/cli/_application.py
+++ b/src/geraniumbend/cli/_application.py
@@ -13,7 +13,13 @@
 # Full name such as "member add" to the function that runs it.
 commands: Registry[Callable[..., Any]] = Registry("command")
 
-COMMAND_MODULES = ("_processes", "_configuration", "_settings")
+COMMAND_MODULES = (
+    "_configuration",
+    "_observation",
+    "_processes",
+    "_secrets",
+    "_settings",
+)
 
 
 def build_application() -> App:
--- a/src/geraniumbend/run.py
+++ b/src/geraniumbend/run.py
@@ -32,11 +32,19 @@
     int
         Exit code: 0 on success, 2 on wrong usage, else the code of the error kind.
     """
-    if len(arguments) == 2 and arguments[0] in PROCESS_COMMANDS:
+    if _starts_process(arguments):
         return _report_errors(lambda: _run_process(*arguments))
     return _report_errors(lambda: _run_command(arguments))
 
 
+def _starts_process(arguments: Sequence[str]) -> bool:
+    return (
+        len(arguments) == 2
+        and arguments[0] in PROCESS_COMMANDS
+        and not arguments[1].startswith("-")
+    )
+
+
 def _run_process(name: str, path: str) -> int:
     from geraniumbend.cli import processes
 
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from geraniumbend.cli import build_application, commands
+from geraniumbend.errors import ConfigurationError, SettingsError, UnavailableError
+from geraniumbend.tokens import verify_token
+from tests.test_run import run_quietly
+
+
+class SettingsCommandsTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "x.toml"
+        self.path.write_text(
+            '[node]\nname = "g1"\n[[keys]]\nnumber = 1\nsecret = "0123456789abcdef"\n'
+        )
+
+    def test_check_accepts_valid_and_names_line_of_invalid_settings(self):
+        self.assertEqual(run_quietly("check", str(self.path))[0], 0)
+        self.path.write_text('[node]\nnam = "g1"\n')
+        code, output = run_quietly("check", str(self.path))
+        self.assertEqual(code, SettingsError.exit_code)
+        self.assertIn("x.toml:2", output)
+        self.assertIn("'name'", output)
+
+    def test_shown_settings_name_their_source_and_hide_secrets(self):
+        code, output = run_quietly("config", "show", str(self.path), "--output", "json")
+        rows = {row["key"]: row for row in json.loads(output)}
+        self.assertEqual(code, 0)
+        self.assertEqual(rows["node.name"]["source"], "file")
+        self.assertEqual(rows["node.region"]["source"], "default")
+        self.assertNotIn("0123456789abcdef", output)
+
+    def test_unknown_output_format_is_a_typed_error(self):
+        code, output = run_quietly("config", "show", str(self.path), "--output", "xml")
+        self.assertEqual(code, ConfigurationError.exit_code)
+        self.assertIn("--output json", output)
+
+
+class SecretCommandsTest(unittest.TestCase):
+    def test_new_token_verifies_against_its_printed_hash(self):
+        _, output = run_quietly("token", "new")
+        token, hashed = (line.split()[1] for line in output.splitlines())
+        self.assertTrue(verify_token(token, hashed))
+
+    def test_hash_of_a_token_from_standard_input_verifies(self):
+        token = "a-long-enough-token-of-an-operator"
+        with mock.patch("sys.stdin", io.StringIO(token + "\n")):
+            _, output = run_quietly("token", "hash")
+        self.assertTrue(verify_token(token, output.strip()))
+
+
+class ObservationCommandsTest(unittest.TestCase):
+    def test_unreachable_gateway_is_a_row_in_top_and_an_error_in_state(self):
+        code, output = run_quietly("top", "127.0.0.1:1", "--once", "--output", "json")
+        self.assertEqual((code, json.loads(output)[0]["ready"]), (0, "no answer"))
+        code, output = run_quietly("state", "127.0.0.1:1")
+        self.assertEqual(code, UnavailableError.exit_code)
+
+    def test_missing_api_address_names_the_remedy(self):
+        with mock.patch.dict("os.environ", clear=True):
+            code, output = run_quietly("state")
+        self.assertEqual(code, SettingsError.exit_code)
+        self.assertIn("GERANIUMBEND_API", output)
+
+
+class HelpTest(unittest.TestCase):
+    def test_every_command_has_help_with_its_summary(self):
+        build_application()
+        for name in commands.names():
+            with self.subTest(name):
+                code, output = run_quietly(*name.split(), "--help")
+                summary = (commands.get(name).__doc__ or "").splitlines()[0]
+                self.assertEqual(code, 0)
+                self.assertIn(summary.split()[0], output)
