Render the experiments as one page with charts and goals

Cause: the figures of many experiments have to be read together, against the goals. Change: python -m bench report runs each experiment in its own process and writes reports/report.md with verdicts; the bounds stand in bench/_goals.py. Conclusion: a goal without a figure shows as not measured.

--- /dev/null
+++ b/bench/_report.py
@@ -0,0 +1,147 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+from bench import _charts as charts
+from bench._experiments import Options, experiments
+from bench._goals import Verdict, judge
+
+FOLDER = Path("reports")
+NOT_REPORTED = ("demo", "report")
+EXPERIMENT_TIMEOUT_S = 90.0
+
+
+@experiments.register("report")
+async def report(options: Options) -> dict[str, Any]:
+    """Run all experiments one after the other and write page and charts."""
+    FOLDER.mkdir(exist_ok=True)
+    results: dict[str, dict[str, Any]] = {}
+    for name in experiments.names():
+        if name in NOT_REPORTED:
+            continue
+        results[name] = await run_experiment(name, options)
+        print(f"{name:20} {json.dumps(results[name])[:100]}", flush=True)
+        (FOLDER / "results.json").write_text(json.dumps(results, indent=2))
+    verdicts = judge(results)
+    write_page(FOLDER, results, verdicts, options.seed)
+    missed = [verdict for verdict in verdicts if verdict.state != "met"]
+    return {"page": str(FOLDER / "report.md"), "missed": len(missed)}
+
+
+async def run_experiment(name: str, options: Options) -> dict[str, Any]:
+    """Run one experiment in a process of its own.
+
+    Parameters
+    ----------
+    name : str
+        Name of the experiment.
+    options : Options
+        Seed and scale to pass on.
+
+    Returns
+    -------
+    dict
+        Its result, or a member ``error`` when it gave none.
+    """
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "bench", name, "--json"),
+        *("--seed", str(options.seed), "--scale", str(options.scale)),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        output, problems = await asyncio.wait_for(
+            process.communicate(), EXPERIMENT_TIMEOUT_S
+        )
+    except TimeoutError:
+        process.kill()
+        await process.wait()
+        return {"error": f"no result in {EXPERIMENT_TIMEOUT_S:.0f} s"}
+    try:
+        result: dict[str, Any] = json.loads(output.decode().splitlines()[-1])
+        return result
+    except (IndexError, ValueError):
+        return {"error": problems.decode()[-500:]}
+
+
+def write_page(
+    folder: Path, results: dict[str, Any], verdicts: list[Verdict], seed: int
+) -> None:
+    """Write the page and the charts of the experiments that gave a result.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder to write to.
+    results : dict of str to dict
+        Result by experiment.
+    verdicts : list of Verdict
+        Goals and whether they were met.
+    seed : int
+        Seed that all experiments ran with.
+    """
+    lines = [
+        "# Experiments",
+        "",
+        f"Seed {seed}. Command: `python -m bench report`.",
+        "",
+    ]
+    lines += ["| experiment | goal | measured | |", "|---|---|---|---|"]
+    for verdict in verdicts:
+        figure = "-" if verdict.figure is None else f"{verdict.figure:.3g}"
+        goal = verdict.goal
+        lines.append(
+            f"| {goal.experiment} | {goal.text} | {figure} | {verdict.state} |"
+        )
+    for name in _draw_charts(folder, results):
+        lines += ["", f"![{name}]({name}.png)"]
+    for name, result in sorted(results.items()):
+        text = json.dumps(result, indent=2)
+        lines += ["", f"## {name}", "", "```json", text, "```"]
+    (folder / "report.md").write_text("\n".join(lines) + "\n")
+
+
+def _draw_charts(folder: Path, results: dict[str, Any]) -> list[str]:
+    drawn = []
+    for name, draw in CHARTS.items():
+        result = results.get(name, {})
+        if result and "error" not in result:
+            draw(folder / f"{name}.png", result)
+            drawn.append(name)
+    return drawn
+
+
+def _draw_crest(path: Path, result: dict[str, Any]) -> None:
+    series = {"share": result["whole_sheets"]}
+    charts.draw_bars(path, "Sheets answered whole at the crest", "share", series)
+
+
+def _draw_blocking(path: Path, result: dict[str, Any]) -> None:
+    figures = result["short_p99_ms"]
+    series = {
+        name: {policy: figures[policy][name] for policy in figures}
+        for name in ("alone", "mixed")
+    }
+    charts.draw_bars(path, "Short requests, 99th percentile", "ms", series)
+
+
+def _draw_slowdown(path: Path, result: dict[str, Any]) -> None:
+    series = {"p99": result["p99_ms"]}
+    charts.draw_bars(path, "One slow and one failing server", "p99 in ms", series)
+
+
+def _draw_slopes(path: Path, result: dict[str, Any]) -> None:
+    fits = {name: fit for name, fit in result.items() if isinstance(fit, dict)}
+    charts.draw_lines(path, fits)
+
+
+CHARTS = {
+    "crest": _draw_crest,
+    "blocking": _draw_blocking,
+    "slowdown": _draw_slowdown,
+    "slopes": _draw_slopes,
+}
