--- a/src/geraniumbend/membership/_servers.py
+++ b/src/geraniumbend/membership/_servers.py
@@ -10,8 +10,10 @@
     EXPIRED,
     FINAL_VERSION,
     LIVE,
+    MAX_LEASE_S,
     Announcement,
     decode_server,
+    encode_server,
     server_record,
 )
 
@@ -22,6 +24,10 @@
     from geraniumbend.membership._view import ServerView
     from geraniumbend.timers import TimerService
 
+MIN_LEASE_S = 1.0
+# The record has to fit into one datagram.
+MAX_CONTENT_BYTES = 960
+
 declare_event(
     810, "backend_server_announced", "info", "A backend server is new or came back."
 )
@@ -90,8 +96,11 @@
         ------
         ConflictError
             If a newer incarnation is known or this one was deregistered.
+        ProtocolError
+            If the lease is out of range or the labels are too long.
         """
         server = announcement.server
+        _check_limits(announcement)
         entry = self._table.get(SERVER, "", server.server_id)
         known = None if entry is None else entry.record
         self._check_incarnation(server.server_id, server.incarnation, known)
@@ -320,3 +329,17 @@
                 "announce a higher incarnation to come back",
                 known.major,
             )
+
+
+def _check_limits(announcement: Announcement) -> None:
+    if not MIN_LEASE_S <= announcement.lease_s <= MAX_LEASE_S:
+        raise ProtocolError(
+            f"lease of {announcement.lease_s:.3g} s is out of range",
+            f"announce a lease from {MIN_LEASE_S:.0f} to {MAX_LEASE_S:.0f} s",
+        )
+    size = len(encode_server(announcement)) + len(announcement.server.server_id)
+    if size > MAX_CONTENT_BYTES:
+        raise ProtocolError(
+            f"announcement needs {size} bytes, more than {MAX_CONTENT_BYTES}",
+            "announce fewer or shorter labels",
+        )
--- a/src/geraniumbend/membership/_shares.py
+++ b/src/geraniumbend/membership/_shares.py
@@ -22,6 +22,8 @@
 DEMAND_PERIOD_S = 0.5
 # Smaller changes would be sent for the noise of request arrivals alone.
 SIGNIFICANT_CHANGE = 0.25
+LEAST_CHANGE = 0.05
+LEAST_RATE = 1e-4
 # The record has 900 bytes; groups beyond the largest ones fall back to equal shares.
 MAX_GROUPS = 24
 CACHE_S = 0.05
@@ -137,7 +139,7 @@
             rate = self._counted.get(group, 0.0) / elapsed
             before = self._rates.get(group, 0.0)
             after = before + (rate - before) * weight
-            if after < 1e-3:
+            if after < LEAST_RATE:
                 self._rates.pop(group, None)
             else:
                 self._rates[group] = after
@@ -147,10 +149,10 @@
 
     def _publish(self, now: float) -> None:
         names = sorted(self._rates, key=lambda g: (-self._rates[g], g))[:MAX_GROUPS]
-        rates = {name: round(self._rates[name], 2) for name in names}
+        rates = {name: self._rates[name] for name in names}
         changed = any(
             abs(rates.get(g, 0.0) - self._published.get(g, 0.0))
-            > SIGNIFICANT_CHANGE * max(self._published.get(g, 0.0), 1.0)
+            > max(SIGNIFICANT_CHANGE * self._published.get(g, 0.0), LEAST_CHANGE)
             for g in rates.keys() | self._published.keys()
         )
         due = bool(rates) and now - self._published_at >= DEMAND_REPEAT_S
