--- a/tests/adapters/_backend.py
+++ b/tests/adapters/_backend.py
@@ -5,11 +5,22 @@
 import asyncio
 from typing import NamedTuple
 
+import uvloop
+
 from geraniumbend.model import BackendServer
 from geraniumbend.proxying import UpstreamRequest
 from geraniumbend.timers import LoopTimers
 
 
+def use_uvloop():
+    """Run the module's tests on the loop that the processes run on."""
+    asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+
+
+def use_default_loop():
+    asyncio.set_event_loop_policy(None)
+
+
 class Received(NamedTuple):
     connection: int
     head: bytes
--- a/tests/adapters/test_http_listener.py
+++ b/tests/adapters/test_http_listener.py
@@ -5,11 +5,14 @@
 import unittest
 
 from geraniumbend.adapters.http_listener import Limits
-from tests.adapters._backend import ScriptedBackend, reply
+from tests.adapters._backend import ScriptedBackend, reply, use_default_loop, use_uvloop
 from tests.proxying._path import DataPath, parse, problem
 
 SHORT = Limits(2048, 0.15, 0.15)
 
+setUpModule = use_uvloop
+tearDownModule = use_default_loop
+
 
 class BadInputTest(unittest.IsolatedAsyncioTestCase):
     """What a gateway must refuse instead of forwarding or failing."""
--- a/tests/adapters/test_server_pool.py
+++ b/tests/adapters/test_server_pool.py
@@ -15,8 +15,13 @@
     read_all,
     reply,
     send_raw,
+    use_default_loop,
+    use_uvloop,
 )
 
+setUpModule = use_uvloop
+tearDownModule = use_default_loop
+
 
 def make_pool(backend, limit=50, share=lambda: 1.0):
     return ServerPool(backend.describe(limit), LoopTimers(), share)
--- a/tests/adapters/test_silence.py
+++ b/tests/adapters/test_silence.py
@@ -7,10 +7,19 @@
 from geraniumbend.adapters.http_upstream import ServerPool
 from geraniumbend.proxying import UpstreamError
 from geraniumbend.timers import LoopTimers
-from tests.adapters._backend import ScriptedBackend, make_request, read_all
+from tests.adapters._backend import (
+    ScriptedBackend,
+    make_request,
+    read_all,
+    use_default_loop,
+    use_uvloop,
+)
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
+setUpModule = use_uvloop
+tearDownModule = use_default_loop
+
 
 class SilenceTest(unittest.IsolatedAsyncioTestCase):
     """Connections that stay open and carry nothing while new ones work."""
--- a/tests/proxying/test_proxy.py
+++ b/tests/proxying/test_proxy.py
@@ -5,9 +5,18 @@
 import unittest
 
 from geraniumbend.model import RetrySettings
-from tests.adapters._backend import ScriptedBackend, reply, send_raw
+from tests.adapters._backend import (
+    ScriptedBackend,
+    reply,
+    send_raw,
+    use_default_loop,
+    use_uvloop,
+)
 from tests.proxying._path import DataPath, make_rule, parse, problem
 
+setUpModule = use_uvloop
+tearDownModule = use_default_loop
+
 SHED = b"HTTP/1.1 503 S\r\nContent-Length: 0\r\nRequest-Not-Run: 1\r\n\r\n"
 FAILED = b"HTTP/1.1 500 F\r\nContent-Length: 3\r\n\r\nbad"
 
