Run control hosts on the replicated log and let operators in by HTTP

Cause: the minimal control role kept the configuration in memory of one process. Proof: API tests against a real listener; red when the write role is not checked.

--- /dev/null
+++ b/src/geraniumbend/adapters/operators_api.py
@@ -0,0 +1,395 @@
+"""Operators' HTTP API of control hosts."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import uuid
+from typing import TYPE_CHECKING, Any, Protocol
+
+import msgspec
+from sanic import Sanic
+from sanic.exceptions import SanicException
+from sanic.response import HTTPResponse
+
+from geraniumbend.adapters._operators_access import OperatorsAccess
+from geraniumbend.configuration import (
+    ConfigurationService,
+    RemoveLabels,
+    SetLabels,
+    describe_configuration,
+    describe_diff,
+    describe_operation,
+    operation_kinds,
+    parse_document,
+    parse_file,
+    parse_operation,
+    plan_operations,
+)
+from geraniumbend.errors import ConfigurationError, ConflictError, GeraniumbendError
+from geraniumbend.logs import declare_event, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from sanic import Request
+
+    from geraniumbend.settings import ControlSettings
+
+    Handler = Callable[..., Awaitable[Any]]
+
+MAX_WAIT_S = 30
+MAX_BODY_BYTES = 4 * 1024 * 1024
+TABLES = {"groups": "groups", "rules": "rules", "labels": "labels"}
+_numbers = itertools.count()
+
+declare_event(
+    620, "operators_api_failed", "error", "A request of the operators' API failed."
+)
+
+
+class ControlPort(Protocol):
+    """What the API needs of the process besides the configuration."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the process."""
+        ...
+
+    def list_members(self) -> dict[str, Any]:
+        """Return the processes and the members of each log."""
+        ...
+
+    async def add_member(self, name: str, address: str) -> None:
+        """Add a control host to all logs."""
+        ...
+
+    async def remove_member(self, name: str) -> None:
+        """Remove a control host from all logs."""
+        ...
+
+    def list_quarantine(self) -> list[dict[str, Any]]:
+        """Return the requests in quarantine."""
+        ...
+
+    def clear_quarantine(self, fingerprint: str) -> None:
+        """Allow a request again."""
+        ...
+
+
+class OperatorsApi:
+    """Serves the operators' API on the running event loop, in this process.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Listener and tokens.
+    service : ConfigurationService
+        Configuration.
+    control : ControlPort
+        The process.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        service: ConfigurationService,
+        control: ControlPort,
+    ) -> None:
+        self._listen = settings.operators
+        self._access = OperatorsAccess.from_config(settings)
+        self._service = service
+        self._control = control
+        self._server: Any = None
+        application = Sanic(f"operators-{next(_numbers)}", configure_logging=False)
+        # Sanic rewrites methods from their source, which the one-file program lacks.
+        application.config.TOUCHUP = False
+        application.config.REQUEST_MAX_SIZE = MAX_BODY_BYTES
+        application.config.RESPONSE_TIMEOUT = 2 * MAX_WAIT_S
+        logging.getLogger("sanic").setLevel(logging.WARNING)
+        application.exception(Exception)(self._answer_error)
+        self._application = application
+        self._add_routes()
+
+    async def start(self) -> None:
+        """Listen; the application never starts worker processes."""
+        self._server = await self._application.create_server(
+            host=self._listen.host,
+            port=self._listen.port,
+            return_asyncio_server=True,
+            access_log=False,
+        )
+        await self._server.startup()
+        await self._server.start_serving()
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        port: int = self._server.server.sockets[0].getsockname()[1]
+        return port
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def _add_routes(self) -> None:
+        read, write = "read", "write"
+        self._route("GET", "/v1/configuration", read, self._get_configuration)
+        self._route("POST", "/v1/configuration", write, self._apply)
+        self._route("POST", "/v1/diff", read, self._diff)
+        self._route("GET", "/v1/watch", read, self._watch)
+        self._route("GET", "/v1/history", read, self._history)
+        self._route("PUT", "/v1/<table:str>/<name:str>", write, self._label)
+        self._route("DELETE", "/v1/<table:str>/<name:str>", write, self._delete)
+        self._route("GET", "/v1/members", read, self._members)
+        self._route("POST", "/v1/members", write, self._add_member)
+        self._route("GET", "/v1/backup", read, self._backup)
+        self._route("POST", "/v1/restore", write, self._restore)
+        self._route("GET", "/v1/state", read, self._state)
+        self._route("GET", "/v1/quarantine", read, self._quarantine)
+        self._route("GET", "/v1/<table:str>", read, self._list)
+        self._route("GET", "/v1/<table:str>/<name:str>", read, self._get)
+
+    def _route(self, method: str, path: str, role: str, handler: Handler) -> None:
+        async def answer(request: Request, **parts: str) -> HTTPResponse:
+            header = request.headers.get("authorization", "")
+            operator = await self._access.check(header, role)
+            return _respond(await handler(request, operator, **parts))
+
+        name = f"{method}-{path}".translate(str.maketrans("/<>:", "____"))
+        self._application.add_route(answer, path, methods=[method], name=name)
+
+    async def _get_configuration(self, request: Request, operator: str) -> Any:
+        if request.args.get("stale") is None:
+            await self._service.confirm()
+        return describe_configuration(self._service.store.current)
+
+    async def _list(self, request: Request, operator: str, table: str) -> Any:
+        return {table: await self._table(request, table)}
+
+    async def _get(self, request: Request, operator: str, table: str, name: str) -> Any:
+        entries = await self._table(request, table)
+        if name not in entries:
+            raise _not_found(f"{table} has no entry {name!r}")
+        return entries[name]
+
+    async def _table(self, request: Request, table: str) -> dict[str, Any]:
+        if table not in TABLES:
+            raise _not_found(f"path {request.path!r} is unknown")
+        document = await self._get_configuration(request, "")
+        if table == "labels":
+            return dict(document["labels"])
+        return {entry["name"]: entry for entry in document[table]}
+
+    async def _apply(self, request: Request, operator: str) -> Any:
+        body = _read_body(request)
+        change_id = str(body.get("change_id") or uuid.uuid4())
+        if "operations" in body:
+            steps = [parse_operation(entry) for entry in body["operations"]]
+            outcome = await self._service.apply(
+                steps, _read_revision(body), change_id, operator
+            )
+        else:
+            content = _read_content(body)
+            expected = body.get("expected_revision")
+            if expected is not None:
+                _read_revision(body)
+            outcome = await self._service.apply_file(
+                content, bool(body.get("prune")), change_id, operator, expected
+            )
+        return await self._describe_outcome(outcome, body.get("wait_s"))
+
+    async def _describe_outcome(self, outcome: Any, wait_s: Any) -> dict[str, Any]:
+        described = outcome._asdict()
+        if wait_s is not None:
+            limit_s = min(float(wait_s), MAX_WAIT_S)
+            described["missing"] = await self._service.wait_in_force(
+                outcome.revision, limit_s
+            )
+        return described
+
+    async def _diff(self, request: Request, operator: str) -> Any:
+        await self._service.confirm()
+        body = _read_body(request)
+        current = self._service.store.current
+        steps = plan_operations(_read_content(body), current, bool(body.get("prune")))
+        return {
+            "revision": current.revision,
+            "changes": describe_diff(steps, current),
+            "operations": [describe_operation(step) for step in steps],
+        }
+
+    async def _watch(self, request: Request, operator: str) -> Any:
+        known = _read_number(request, "revision", 0)
+        wait_s = min(_read_number(request, "wait_s", 30), MAX_WAIT_S)
+        await self._service.wait_for_change(int(known), wait_s)
+        store = self._service.store
+        changes = store.changes_since(int(known))
+        return {
+            "revision": store.current.revision,
+            "complete": changes is not None,
+            "changes": [_describe_entry(entry) for entry in changes or []],
+        }
+
+    async def _history(self, request: Request, operator: str) -> Any:
+        await self._service.confirm()
+        limit = max(1, int(_read_number(request, "limit", 100)))
+        entries = list(self._service.store.history)[-limit:]
+        return {"history": [_describe_entry(entry) for entry in reversed(entries)]}
+
+    async def _label(
+        self, request: Request, operator: str, table: str, name: str
+    ) -> Any:
+        if table != "labels":
+            raise _not_found(f"path {request.path!r} cannot be put")
+        body = _read_body(request)
+        step = parse_operation(
+            {
+                "operation": "set_labels",
+                "server_id": name,
+                "labels": body.get("labels"),
+            }
+        )
+        assert isinstance(step, SetLabels)
+        change_id = str(body.get("change_id") or uuid.uuid4())
+        outcome = await self._service.apply(
+            [step], _read_revision(body), change_id, operator
+        )
+        return await self._describe_outcome(outcome, body.get("wait_s"))
+
+    async def _delete(
+        self, request: Request, operator: str, table: str, name: str
+    ) -> Any:
+        if table == "members":
+            await self._control.remove_member(name)
+            return {"removed": name}
+        if table == "quarantine":
+            self._control.clear_quarantine(name)
+            return {"cleared": name}
+        if table not in TABLES:
+            raise _not_found(f"path {request.path!r} is unknown")
+        step: Any = RemoveLabels(name)
+        if table != "labels":
+            step = operation_kinds.get(f"delete_{table[:-1]}")(name)
+        expected = int(_read_number(request, "expected_revision", -1))
+        if expected < 0:
+            raise _missing_revision()
+        change_id = request.args.get("change_id") or str(uuid.uuid4())
+        outcome = await self._service.apply([step], expected, change_id, operator)
+        return await self._describe_outcome(outcome, request.args.get("wait_s"))
+
+    async def _members(self, request: Request, operator: str) -> Any:
+        return self._control.list_members()
+
+    async def _add_member(self, request: Request, operator: str) -> Any:
+        body = _read_body(request)
+        name, address = str(body.get("name", "")), str(body.get("address", ""))
+        if not name or ":" not in address:
+            raise ConfigurationError(
+                "a member needs a name and a peer address", "send name and ip:port"
+            )
+        await self._control.add_member(name, address)
+        return {"added": name}
+
+    async def _backup(self, request: Request, operator: str) -> Any:
+        await self._service.confirm()
+        return self._service.store.backup()
+
+    async def _restore(self, request: Request, operator: str) -> Any:
+        body = _read_body(request)
+        change_id = str(body.get("change_id") or uuid.uuid4())
+        document = body.get("backup") or {}
+        outcome = await self._service.restore(document, change_id, operator)
+        return outcome._asdict()
+
+    async def _state(self, request: Request, operator: str) -> Any:
+        return self._control.dump()
+
+    async def _quarantine(self, request: Request, operator: str) -> Any:
+        return {"quarantine": self._control.list_quarantine()}
+
+    async def _answer_error(self, request: Request, error: Exception) -> HTTPResponse:
+        if isinstance(error, GeraniumbendError):
+            status = error.http_status
+            kind, detail, remedy = type(error).__name__, error.message, error.remedy
+        elif isinstance(error, SanicException):
+            status, kind, detail, remedy = error.status_code, "http", str(error), ""
+        else:
+            log_event(620, path=request.path, error=repr(error))
+            status, kind, detail = 500, "internal", "the request failed"
+            remedy = "look for event 620 in the control host's log"
+        problem: dict[str, Any] = {
+            "type": f"https://geraniumbend.invalid/problems/{kind}",
+            "title": kind,
+            "status": status,
+            "detail": detail,
+            "remedy": remedy,
+        }
+        if isinstance(error, ConflictError):
+            problem["current_revision"] = error.current_revision
+            problem["current"] = getattr(error, "current", {})
+        return _respond(problem, status, "application/problem+json")
+
+
+def _respond(
+    value: Any, status: int = 200, content_type: str = "application/json"
+) -> HTTPResponse:
+    return HTTPResponse(
+        msgspec.json.encode(value), status=status, content_type=content_type
+    )
+
+
+def _read_body(request: Request) -> dict[str, Any]:
+    if request.headers.get("content-type", "").startswith("application/toml"):
+        return {"toml": request.body.decode("utf-8", "replace")}
+    try:
+        body = msgspec.json.decode(request.body)
+    except msgspec.DecodeError as error:
+        raise ConfigurationError(
+            f"the body is no JSON: {error}", "send JSON or application/toml"
+        ) from error
+    if not isinstance(body, dict):
+        raise ConfigurationError("the body is no JSON object", "send an object")
+    return body
+
+
+def _read_content(body: dict[str, Any]) -> Any:
+    if "toml" in body:
+        return parse_file(str(body["toml"]), "body")
+    return parse_document(body.get("document"), "document")
+
+
+def _read_revision(body: dict[str, Any]) -> int:
+    revision = body.get("expected_revision")
+    if not isinstance(revision, int):
+        raise _missing_revision()
+    return revision
+
+
+def _read_number(request: Request, name: str, default: float) -> float:
+    try:
+        return float(request.args.get(name, default))
+    except ValueError as error:
+        raise ConfigurationError(
+            f"{name} is no number", "correct the query of the request"
+        ) from error
+
+
+def _describe_entry(entry: Any) -> dict[str, Any]:
+    return {**entry._asdict(), "operations": msgspec.json.decode(entry.operations)}
+
+
+def _missing_revision() -> ConfigurationError:
+    return ConfigurationError(
+        "the change names no expected_revision",
+        "get the configuration and send the revision that you looked at",
+    )
+
+
+class _NotFoundError(ConfigurationError):
+    http_status = 404
+
+
+def _not_found(message: str) -> _NotFoundError:
+    return _NotFoundError(message, "see docs/reference/operators-api.md")
--- a/src/geraniumbend/configuration/__init__.py
+++ b/src/geraniumbend/configuration/__init__.py
@@ -6,6 +6,7 @@
 from geraniumbend.configuration._files import (
     FileContent,
     describe_diff,
+    parse_document,
     parse_file,
     plan_operations,
     write_file,
@@ -22,6 +23,7 @@
     apply_operations,
     describe_configuration,
     describe_operation,
+    operation_kinds,
     parse_configuration,
     parse_operation,
 )
@@ -57,8 +59,10 @@
     "describe_configuration",
     "describe_diff",
     "describe_operation",
+    "operation_kinds",
     "parse",
     "parse_configuration",
+    "parse_document",
     "parse_file",
     "parse_operation",
     "plan_operations",
--- a/src/geraniumbend/configuration/_files.py
+++ b/src/geraniumbend/configuration/_files.py
@@ -66,6 +66,15 @@
         raise ConfigurationError(
             f"{source} is no TOML: {error}", "correct the syntax at that place"
         ) from error
+    return parse_document(document, source)
+
+
+def parse_document(document: Any, source: str = "document") -> FileContent:
+    """Check the tables of an operators' file; see `parse_file`."""
+    if not isinstance(document, dict):
+        raise ConfigurationError(
+            f"{source} is no object", f"use the tables {', '.join(TABLES)}"
+        )
     unknown = sorted(set(document) - set(TABLES))
     if unknown:
         raise ConfigurationError(
--- a/src/geraniumbend/configuration/_service.py
+++ b/src/geraniumbend/configuration/_service.py
@@ -195,7 +195,12 @@
         )
 
     async def apply_file(
-        self, content: FileContent, prune: bool, change_id: str, operator: str
+        self,
+        content: FileContent,
+        prune: bool,
+        change_id: str,
+        operator: str,
+        expected_revision: int | None = None,
     ) -> ChangeOutcome:
         """Bring the configuration in force to the content of an operators' file.
 
@@ -209,6 +214,8 @@
             UUID chosen by the client.
         operator : str
             Name of the operator's token.
+        expected_revision : int or None, default=None
+            Revision that the operator looked at; the one in force when None.
 
         Returns
         -------
@@ -221,10 +228,14 @@
             As in `apply`.
         """
         wanted = plan_operations(content, Configuration())
-        digest = _digest([prune, [describe_operation(step) for step in wanted]])
+        digest = _digest(
+            [expected_revision, prune, [describe_operation(step) for step in wanted]]
+        )
         await self.confirm()
         steps = plan_operations(content, self.store.current, prune)
         revision = self.store.current.revision
+        if expected_revision is not None:
+            revision = expected_revision
         if not steps and not self.store.knows(change_id):
             return ChangeOutcome(revision, change_id, False)
         if steps:
--- a/src/geraniumbend/orders/_client.py
+++ b/src/geraniumbend/orders/_client.py
@@ -111,8 +111,8 @@
     async def claim(
         self,
         key: str,
-        caller_digest: bytes,
-        request_digest: bytes,
+        caller_digest: bytes | str,
+        request_digest: bytes | str,
         owner: str,
         deadline_s: float,
     ) -> Claim:
@@ -122,7 +122,7 @@
         ----------
         key : str
             Key that the caller sent.
-        caller_digest, request_digest : bytes
+        caller_digest, request_digest : bytes or str
             Digests of the caller and of the request.
         owner : str
             Name of this gateway.
@@ -143,8 +143,8 @@
         structs = load_structs("orders")
         wanted = structs.ClaimOrder(
             key=key,
-            caller=caller_digest,
-            request=request_digest,
+            caller=_to_bytes(caller_digest),
+            request=_to_bytes(request_digest),
             token=uuid.uuid4().hex,
             owner=owner,
             lease_ms=int((deadline_s + LEASE_GRACE_S) * 1000),
@@ -167,7 +167,7 @@
             )
         return Claim(result.state, key, wanted.token, result.answer, result.detail)
 
-    async def complete(self, claim: Claim, answer: bytes) -> bool:
+    async def complete(self, claim: Claim, answer: bytes) -> None:
         """Record the answer of an order that has run.
 
         Parameters
@@ -177,21 +177,21 @@
         answer : bytes
             Answer; above 256 KiB only the completion is recorded.
 
-        Returns
-        -------
-        bool
-            Whether a majority holds it; otherwise it is sent again at the side.
+        Raises
+        ------
+        UnavailableError
+            If no majority recorded it in 3 s; it is then sent again at the side.
         """
         kept = answer if len(answer) <= MAX_ANSWER_BYTES else None
-        return await self._finish(claim, "completed", kept)
+        await self._finish(claim, "completed", kept)
 
-    async def release(self, claim: Claim) -> bool:
+    async def release(self, claim: Claim) -> None:
         """Give a claim back whose order provably has not run; see `complete`."""
-        return await self._finish(claim, "released")
+        await self._finish(claim, "released")
 
-    async def abandon(self, claim: Claim) -> bool:
+    async def abandon(self, claim: Claim) -> None:
         """Record that it is unknown whether an order has run; see `complete`."""
-        return await self._finish(claim, "unknown")
+        await self._finish(claim, "unknown")
 
     async def stop(self) -> None:
         """Cancel what is still sent at the side."""
@@ -227,14 +227,18 @@
 
     async def _finish(
         self, claim: Claim, state: str, answer: bytes | None = None
-    ) -> bool:
+    ) -> None:
         task = self._finish_aside(claim.key, claim.token, state, answer)
         expiry = asyncio.ensure_future(self._timers.sleep(FINISH_LIMIT_S))
         try:
             await asyncio.wait([task, expiry], return_when=asyncio.FIRST_COMPLETED)
         finally:
             expiry.cancel()
-        return task.done() and not task.cancelled() and task.result()
+        if not task.done() or task.cancelled() or not task.result():
+            raise UnavailableError(
+                f"the journal has not recorded that the order is {state}",
+                "a retry of the order is answered as unknown until it is recorded",
+            )
 
     def _finish_aside(
         self, key: str, token: str, state: str, answer: bytes | None = None
@@ -283,3 +287,7 @@
             self._leaders.clear()
         self._leaders[choose_shard(key, self._shards)] = host
         return result
+
+
+def _to_bytes(digest: bytes | str) -> bytes:
+    return digest.encode() if isinstance(digest, str) else digest
--- a/src/geraniumbend/orders/_service.py
+++ b/src/geraniumbend/orders/_service.py
@@ -63,6 +63,7 @@
         self._waiting: dict[str, Signal] = {}
         self._clock_read_at = [timers.now()] * len(self._shards)
         self._ticking: Subscription | None = None
+        self._blocked = ""
         for shard in self._shards:
             shard.journal.subscribe(self._wake)
 
@@ -80,6 +81,10 @@
         if self._ticking is not None:
             self._ticking.cancel()
 
+    def block(self, reason: str) -> None:
+        """Refuse all claims from now on."""
+        self._blocked = reason
+
     def dump(self) -> dict[str, Any]:
         """Return counters of all journals for the state dump."""
         return {
@@ -112,6 +117,11 @@
             return
 
     async def _claim(self, body: bytes) -> bytes:
+        if self._blocked:
+            raise UnavailableError(
+                f"this control host takes no orders: {self._blocked}",
+                "correct its settings",
+            )
         structs = load_structs("orders")
         request = decode(structs.ClaimRequest, body)
         claim = request.claim
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -2,19 +2,16 @@
 
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from geraniumbend.adapters.announce_listener import AnnounceListener
 from geraniumbend.adapters.http_listener import HttpListener, create_client_context
 from geraniumbend.adapters.http_upstream import HttpUpstream
 from geraniumbend.adapters.rpc import RpcClients, RpcServer
 from geraniumbend.admission import Admission
 from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
-from geraniumbend.errors import GeraniumbendError
 from geraniumbend.keys import KeyRing
 from geraniumbend.membership import Membership, Shares
 from geraniumbend.metrics import MetricSet
-from geraniumbend.model import Configuration
+from geraniumbend.orders import OrderClient
 from geraniumbend.proxying import Proxy, ProxyParts
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.retries import RetryBudget
@@ -23,12 +20,10 @@
 
 if TYPE_CHECKING:
     from geraniumbend.membership import Announcement
-    from geraniumbend.model import BackendServer
+    from geraniumbend.model import BackendServer, Configuration
     from geraniumbend.settings import Settings
 
 LOADS_PERIOD_S = 0.25
-POLL_PERIOD_S = 0.2
-POLL_TIMEOUT_S = 1.0
 ORDERS_POLL_S = 0.02
 
 
@@ -71,6 +66,9 @@
             settings, self._membership, self._shares, timers
         )
         self._quarantine = Quarantine.from_config(settings, self._membership, timers)
+        self._orders = OrderClient.from_config(settings, self._clients, timers)
+        # The port describes claims by their state only, so the types do not match.
+        orders: Any = self._orders
         self._metrics = MetricSet()
         parts = ProxyParts(
             self._view,
@@ -79,7 +77,7 @@
             self._budget,
             self._quarantine,
             self._upstream,
-            None,
+            orders,
             timers,
         )
         self._proxy = Proxy.from_config(settings, parts, self._create_observer())
@@ -103,7 +101,6 @@
         await self._announce.start()
         await self._membership.start()
         self._follower.start()
-        self._timers.every(POLL_PERIOD_S, self._poll)
         self._timers.every(LOADS_PERIOD_S, self._take_loads)
         await self._callers.start()
         self._started = True
@@ -123,6 +120,7 @@
         while self._proxy.orders_in_flight() and self._timers.now() < end_s:
             await self._timers.sleep(ORDERS_POLL_S)
         await self._follower.stop()
+        await self._orders.stop()
         await self._membership.stop()
         await self._announce.stop()
         await self._upstream.close()
@@ -139,8 +137,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers may send requests here."""
-        confirmed = self._follower.confirmed or self._view.current.revision > 0
-        return self._started and not self._draining and confirmed
+        return self._started and not self._draining and self._follower.confirmed
 
     def dump(self) -> dict[str, Any]:
         """Return the state of all parts."""
@@ -201,17 +198,3 @@
             if load.received_at > view.report_at:
                 report = LoadReport(float(load.in_flight), load.slots)
                 view.observe_report(report, load.received_at)
-
-    async def _poll(self) -> None:
-        # Control processes that offer no subscription yet are asked for the whole.
-        if self._follower.confirmed:
-            return
-        for address in self._settings.control:
-            try:
-                body = await self._clients.call(
-                    address, "configuration.get", b"", POLL_TIMEOUT_S
-                )
-            except GeraniumbendError:
-                continue
-            self._view.install(msgspec.json.decode(body, type=Configuration))
-            return
--- /dev/null
+++ b/tests/adapters/test_operators_api.py
@@ -0,0 +1,162 @@
+from __future__ import annotations
+
+import unittest
+import uuid
+
+import aiohttp
+
+from geraniumbend.adapters.operators_api import OperatorsApi
+from geraniumbend.errors import SettingsError
+from geraniumbend.settings import ControlSettings, ListenSettings, TokenSettings
+from geraniumbend.timers import LoopTimers
+from geraniumbend.tokens import hash_token
+from tests.configuration.cluster import FakeCluster, FakeMember
+
+WRITER, READER = "writer-secret-0123456789", "reader-secret-0123456789"
+GROUP = {"operation": "set_group", "group": {"name": "a", "selector": "app=x"}}
+
+
+class FakeControl:
+    def __init__(self):
+        self.changes = []
+
+    def dump(self):
+        return {"node": "c1"}
+
+    def list_members(self):
+        return {"processes": [], "logs": {}}
+
+    async def add_member(self, name, address):
+        self.changes.append(("add", name, address))
+
+    async def remove_member(self, name):
+        self.changes.append(("remove", name))
+
+    def list_quarantine(self):
+        return [{"fingerprint": "f"}]
+
+    def clear_quarantine(self, fingerprint):
+        self.changes.append(("clear", fingerprint))
+
+
+class OperatorsApiTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = FakeCluster(LoopTimers())
+        self.service = self.cluster.services["b"]
+        self.service.start()
+        self.control = FakeControl()
+        tokens = [
+            TokenSettings("eva", hash_token(WRITER), "write"),
+            TokenSettings("max", hash_token(READER), "read"),
+        ]
+        self.api = OperatorsApi(
+            ControlSettings(tokens=tokens), self.service, self.control
+        )
+        await self.api.start()
+        self.session = aiohttp.ClientSession(f"http://127.0.0.1:{self.api.port}")
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.api.stop()
+        self.service.stop()
+
+    async def send(self, method, path, body=None, token=WRITER):
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        async with self.session.request(
+            method, path, json=body, headers=headers
+        ) as answer:
+            return answer.status, await answer.json(content_type=None)
+
+    async def apply(self, revision, *operations, **members):
+        body = {"operations": operations, "expected_revision": revision, **members}
+        return await self.send("POST", "/v1/configuration", body)
+
+    async def test_missing_or_unknown_token_is_refused_and_reader_cannot_write(self):
+        for token, status in (("", 401), ("wrong-secret-000000000", 401)):
+            self.assertEqual(
+                (await self.send("GET", "/v1/configuration", token=token))[0], status
+            )
+        self.assertEqual((await self.send("GET", "/v1/groups", token=READER))[0], 200)
+        body = {"operations": [GROUP], "expected_revision": 0}
+        status, problem = await self.send("POST", "/v1/configuration", body, READER)
+        self.assertEqual((status, problem["title"]), (403, "ForbiddenError"))
+        self.assertEqual(self.service.store.current.revision, 0)
+
+    async def test_resent_change_gets_the_first_outcome_and_a_racing_one_the_value(
+        self,
+    ):
+        change_id = str(uuid.uuid4())
+        for repeated in (False, True):
+            status, outcome = await self.apply(0, GROUP, change_id=change_id)
+            self.assertEqual((status, outcome["revision"]), (200, 1))
+            self.assertEqual(outcome["repeated"], repeated)
+        status, problem = await self.apply(0, GROUP)
+        self.assertEqual((status, problem["current_revision"]), (409, 1))
+        self.assertEqual(problem["current"]["group a"]["selector"], "app=x")
+        self.assertIn("remedy", problem)
+
+    async def test_change_without_expected_revision_is_refused_with_a_remedy(self):
+        body = {"operations": [GROUP]}
+        status, problem = await self.send("POST", "/v1/configuration", body)
+        self.assertEqual(status, 422)
+        self.assertIn("expected_revision", problem["detail"])
+
+    async def test_whole_session_of_an_operator(self):
+        document = {
+            "groups": {"a": {"selector": "app=x"}},
+            "rules": {"r": {"group": "a"}},
+        }
+        status, diff = await self.send("POST", "/v1/diff", {"document": document})
+        self.assertEqual([c["name"] for c in diff["changes"]], ["a", "r"])
+        self.cluster.members_list = [FakeMember("g1", "gateway", 0)]
+        body = {"document": document, "wait_s": 0.1}
+        _, outcome = await self.send("POST", "/v1/configuration", body)
+        self.assertEqual((outcome["revision"], outcome["missing"]), (1, ["g1"]))
+        labels = {"labels": {"tier": "b"}, "expected_revision": 1}
+        self.assertEqual((await self.send("PUT", "/v1/labels/s1", labels))[0], 200)
+        self.assertEqual(await self.send("GET", "/v1/labels/s1"), (200, {"tier": "b"}))
+        status, _ = await self.send("DELETE", "/v1/groups/a?expected_revision=2")
+        self.assertEqual(status, 422, "a rule still uses the group")
+        for number, path in enumerate(("rules/r", "groups/a", "labels/s1"), start=2):
+            path = f"/v1/{path}?expected_revision={number}"
+            self.assertEqual((await self.send("DELETE", path))[0], 200, path)
+        _, watched = await self.send("GET", "/v1/watch?revision=3&wait_s=1")
+        self.assertEqual([c["revision"] for c in watched["changes"]], [4, 5])
+        _, history = await self.send("GET", "/v1/history?limit=2")
+        self.assertEqual([e["revision"] for e in history["history"]], [5, 4])
+        self.assertEqual(history["history"][0]["operator"], "eva")
+
+    async def test_backup_members_quarantine_and_state_are_reachable(self):
+        await self.apply(0, GROUP)
+        _, backup = await self.send("GET", "/v1/backup")
+        self.assertEqual(backup["configuration"]["revision"], 1)
+        status, _ = await self.send("POST", "/v1/restore", {"backup": backup})
+        self.assertEqual(status, 409, "the cluster is not empty")
+        member = {"name": "c4", "address": "127.0.0.1:9"}
+        await self.send("POST", "/v1/members", member)
+        await self.send("DELETE", "/v1/members/c4")
+        await self.send("DELETE", "/v1/quarantine/f")
+        self.assertEqual(
+            self.control.changes,
+            [("add", "c4", "127.0.0.1:9"), ("remove", "c4"), ("clear", "f")],
+        )
+        self.assertEqual(await self.send("GET", "/v1/state"), (200, {"node": "c1"}))
+
+    async def test_malformed_requests_get_problem_documents(self):
+        for method, path, body, status in (
+            ("POST", "/v1/configuration", [1], 422),
+            ("POST", "/v1/configuration", {"document": 3}, 422),
+            ("POST", "/v1/restore", {"backup": {"x": 1}}, 422),
+            ("GET", "/v1/groups/none", None, 404),
+            ("GET", "/v1/nothing", None, 404),
+            ("GET", "/v1/watch?revision=x", None, 422),
+        ):
+            with self.subTest(path=path, body=body):
+                answer = await self.send(method, path, body)
+                self.assertEqual(answer[0], status)
+                self.assertTrue(answer[1]["detail"])
+
+    async def test_open_api_beyond_loopback_is_refused_at_start(self):
+        settings = ControlSettings(operators=ListenSettings(host="0.0.0.0"))
+        with self.assertRaises(SettingsError):
+            OperatorsApi(settings, self.service, self.control)
