--- a/src/geraniumbend/cli/_application.py
+++ b/src/geraniumbend/cli/_application.py
@@ -14,6 +14,7 @@
 commands: Registry[Callable[..., Any]] = Registry("command")
 
 COMMAND_MODULES = (
+    "_cluster",
     "_configuration",
     "_observation",
     "_processes",
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -71,6 +71,59 @@
         self.assertIn("GERANIUMBEND_API", output)
 
 
+class OperatorsCommandsTest(unittest.TestCase):
+    """Commands against a fake of the client at the operators' API."""
+
+    def setUp(self):
+        self.calls = []
+        self.answers = {}
+        for module in ("_configuration", "_cluster"):
+            name = f"geraniumbend.cli.{module}.request"
+            patch = mock.patch(name, self.answer)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def answer(self, method, path, api=None, body=None):
+        self.calls.append((method, path, body))
+        return self.answers[(method, path.partition("?")[0])]
+
+    def test_label_sets_and_hides_labels_on_the_revision_it_read(self):
+        self.answers = {
+            ("GET", "/v1/configuration"): {"revision": 7},
+            ("PUT", "/v1/labels/s1"): {"revision": 8},
+        }
+        code, _ = run_quietly("label", "s1", "wave=2", "canary-")
+        body = self.calls[-1][2]
+        self.assertEqual(code, 0)
+        self.assertEqual(body["labels"], {"wave": "2", "canary": ""})
+        self.assertEqual(body["expected_revision"], 7)
+
+    def test_malformed_label_is_refused_before_anything_is_sent(self):
+        code, output = run_quietly("label", "s1", "wave")
+        self.assertEqual((code, self.calls), (ConfigurationError.exit_code, []))
+        self.assertIn("NAME=VALUE", output)
+
+    def test_wait_names_the_gateways_that_lack_the_revision(self):
+        with tempfile.NamedTemporaryFile(suffix=".toml") as file:
+            outcome = {"revision": 3, "missing": ["gateway-4"]}
+            self.answers = {("POST", "/v1/configuration"): outcome}
+            code, output = run_quietly("apply", file.name, "--wait")
+        self.assertEqual(code, UnavailableError.exit_code)
+        self.assertIn("gateway-4", output)
+
+    def test_backup_never_overwrites_a_file(self):
+        self.answers = {("GET", "/v1/backup"): {"revision": 1}}
+        with tempfile.NamedTemporaryFile() as file:
+            code, _ = run_quietly("backup", file.name)
+        self.assertEqual(code, ConfigurationError.exit_code)
+
+    def test_watch_that_fell_behind_says_so(self):
+        answer = {"revision": 9, "complete": False, "changes": []}
+        self.answers = {("GET", "/v1/watch"): answer}
+        code, _ = run_quietly("watch", "--revision", "1", "--count", "1")
+        self.assertEqual(code, UnavailableError.exit_code)
+
+
 class HelpTest(unittest.TestCase):
     def test_every_command_has_help_with_its_summary(self):
         build_application()
