--- a/src/geraniumbend/cli/_processes.py
+++ b/src/geraniumbend/cli/_processes.py
@@ -22,6 +22,7 @@
 declare_event(900, "process_started", "info", "The process serves its listeners.")
 declare_event(901, "process_stopping", "info", "A signal asked the process to stop.")
 declare_event(902, "process_stopped", "info", "The process has shut down gracefully.")
+declare_event(903, "process_state", "info", "State dump, asked for by SIGUSR1.")
 
 
 @commands.register("gateway")
@@ -76,6 +77,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         process = build(settings)
+        loop.add_signal_handler(
+            signal.SIGUSR1, lambda: log_event(903, role=role, state=process.dump())
+        )
         await process.start()
         gc.collect()
         gc.freeze()
