--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -17,10 +17,10 @@
     from geraniumbend.settings import Settings
     from geraniumbend.timers import Subscription, TimerService
 
-# Requests in flight may exceed this gateway's part of the slots by this factor,
-# because the demand of the gateways fluctuates independently. The servers queue the
-# few that are too many.
-ELASTICITY = 1.25
+# Requests in flight may exceed this gateway's part of the slots by this factor. With
+# short queues on the servers nearly all slots are busy although the gateways see only
+# old loads.
+ELASTICITY = 1.6
 SWEEP_PERIOD_S = 0.05
 # One caller may offer this share of the capacity before its opens rank lower, and
 # hold this share of the queue before its requests rank last.
@@ -96,6 +96,7 @@
         self.long = long
         self.running = 0
         self.limit = 1
+        self.slots = 1.0
         self.level = AdmissionLevel()
         self.callers = CallerDemand()
         self.queue = RankedQueue()
@@ -209,8 +210,10 @@
         self, lane: _Lane, request: AdmissionRequest, service_s: float, now: float
     ) -> float:
         """Return the effective rank of a request or refuse it."""
-        slots = self._own_slots(lane)
-        lane.limit = max(1, math.ceil(slots * ELASTICITY))
+        if lane.level.is_due(now):
+            self._refresh(lane, now)
+        slots = lane.slots
+        level = lane.level.value
         bound = CALLER_SHARE * max(slots, 1e-9)
         offered, counted_s = lane.callers.record(request.caller, service_s, bound, now)
         self._shares.record_demand(request.group, service_s)
@@ -218,8 +221,6 @@
         sheet = request.sheet
         rank = rank_open(sheet) if sheet else self._random.random()
         rank *= max(1.0, offered / bound)
-        utilization = self._table.utilization(lane.group)
-        level = lane.level.update(slots, utilization, lane.running, now)
         known = self._table.costs.cost(request.group, request.request_class)
         if known is None or known.count < TRUSTED_COUNT:
             return rank
@@ -227,13 +228,25 @@
         admitted = rank <= level if decision is None else decision
         if sheet and decision is None:
             self._opens.remember(lane.group, sheet, admitted, now)
-        self._log_change(lane, level)
         if not admitted:
             raise self._refuse(lane, "demand exceeds the capacity of the group")
         places = max(8, int(self._queue_limit * CALLER_SHARE))
         crowding = lane.queue.count_caller(request.caller) >= places
         return rank + 1 if crowding else rank
 
+    def _refresh(self, lane: _Lane, now: float) -> None:
+        lane.slots = self._own_slots(lane)
+        lane.limit = max(1, math.ceil(lane.slots * ELASTICITY))
+        utilization = self._table.utilization(lane.group)
+        level = lane.level.update(lane.slots, utilization, lane.running, now)
+        refusing = level < 1 if not lane.refusing else level < 1.1
+        if refusing != lane.refusing:
+            lane.refusing = refusing
+            if refusing:
+                log_event(400, group=lane.group, long=lane.long)
+            else:
+                log_event(401, group=lane.group, long=lane.long)
+
     def _own_slots(self, lane: _Lane) -> float:
         lanes = self._table.lanes.lanes(lane.group)
         if not lane.long:
@@ -302,7 +315,8 @@
             for entry in lane.queue.pop_hopeless(now):
                 lane.level.observe_wait(1.0, 1.0)
                 self._drop(lane, entry, "too little time is left before the deadline")
-            lane.limit = max(1, math.ceil(self._own_slots(lane) * ELASTICITY))
+            if lane.level.is_due(now):
+                self._refresh(lane, now)
             self._dispatch(lane)
         self._sweeping = None
         if any(len(lane.queue) for lane in self._lanes.values()):
@@ -319,12 +333,3 @@
             "retry after the stated delay",
             retry_after_s=RETRY_AFTER_S,
         )
-
-    def _log_change(self, lane: _Lane, level: float) -> None:
-        refusing = level < 1 if not lane.refusing else level < 1.1
-        if refusing != lane.refusing:
-            lane.refusing = refusing
-            if refusing:
-                log_event(400, group=lane.group, long=lane.long)
-            else:
-                log_event(401, group=lane.group, long=lane.long)
--- a/src/geraniumbend/admission/_demand.py
+++ b/src/geraniumbend/admission/_demand.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 BIN_S = 0.1
-LONG_BINS = 30
+LONG_BINS = 50
 SHORT_BINS = 4
 # The long window is given up for the short one when the two differ by this many
 # standard deviations of the short one.
--- a/src/geraniumbend/admission/_levels.py
+++ b/src/geraniumbend/admission/_levels.py
@@ -4,19 +4,22 @@
 
 from geraniumbend.admission._demand import DemandWindow
 
-# Share of the slots that the level aims to keep busy. Servers with short queues keep
-# their slots busy without long waits.
-TARGET = 0.97
+# Share of the slots that the level aims to keep busy. It is above 1 because opens
+# near the level are refused by some gateway, whose estimate of demand is a little
+# higher; their remaining requests rank last in the queues.
+TARGET = 1.05
 PERIOD_S = 0.1
-# Queue wait as a share of the deadline at which the level is lowered or raised.
-HIGH_WAIT = 0.4
-LOW_WAIT = 0.1
-# Reported utilization below which the level is raised.
-LOW_UTILIZATION = 0.9
+# Queue wait as a share of the deadline at which the level is lowered or may be
+# raised. Between the two, the backlog from the onset of a crest passes.
+HIGH_WAIT = 0.6
+LOW_WAIT = 0.15
+# Reported utilization below which the level is raised. All gateways see about the
+# same utilization, so their corrections stay close together.
+LOW_UTILIZATION = 0.95
+STEP = 0.005
 # Below this utilization nothing is refused for its rank, whatever the estimate of
 # demand says; a short burst may look like a crest in the first seconds.
 IDLE_UTILIZATION = 0.7
-STEP = 0.01
 LOWEST_CORRECTION = 0.5
 HIGHEST_CORRECTION = 1.3
 
@@ -41,10 +44,14 @@
         share = min(1.0, waited_s / allowed_s) if allowed_s > 0 else 1.0
         self._wait += 0.1 * (share - self._wait)
 
+    def is_due(self, now: float) -> bool:
+        """Tell whether a period has passed since the last update."""
+        return now - self._updated >= PERIOD_S
+
     def update(
         self, slots: float, utilization: float, running: int, now: float
     ) -> float:
-        """Return the level, computed anew once a period.
+        """Compute the level anew.
 
         Parameters
         ----------
@@ -62,8 +69,6 @@
         float
             Ranks above it are refused; above 1 when demand is below capacity.
         """
-        if now - self._updated < PERIOD_S:
-            return self.value
         self._updated = now
         offered = self.demand.rate(now)
         if offered <= 0:
--- a/src/geraniumbend/routing/__init__.py
+++ b/src/geraniumbend/routing/__init__.py
@@ -6,6 +6,7 @@
 from geraniumbend.routing._lanes import Lanes, LaneTable
 from geraniumbend.routing._matching import RequestFacts, RuleTable, compile_pattern
 from geraniumbend.routing._policies import Choice, Policy, policies
+from geraniumbend.routing._probes import ProbeScheduler
 from geraniumbend.routing._reports import LoadReport, parse_report
 from geraniumbend.routing._router import Router
 from geraniumbend.routing._selectors import Requirement, Selector, parse_selector
@@ -19,6 +20,7 @@
     "LoadReport",
     "Outcome",
     "Policy",
+    "ProbeScheduler",
     "RequestCosts",
     "RequestFacts",
     "Requirement",
--- a/src/geraniumbend/routing/_costs.py
+++ b/src/geraniumbend/routing/_costs.py
@@ -11,7 +11,7 @@
 # Length of the memory of request rates, in seconds.
 MEMORY_S = 10.0
 # Weight of one more latency in the mean of its class once enough were seen.
-MEAN_WEIGHT = 0.05
+MEAN_WEIGHT = 0.015
 # A class is long when its cost exceeds the typical cost this many times. Below the
 # second factor it is short again; the gap keeps a class from changing back and forth.
 LONG_FACTOR = 4.0
@@ -22,20 +22,38 @@
 class ClassCost:
     """Learned cost of one request class in one group."""
 
-    __slots__ = ("count", "mean_s", "rate", "tail_s", "updated")
+    __slots__ = (
+        "_latency_s",
+        "_queueing",
+        "count",
+        "mean_s",
+        "rate",
+        "tail_s",
+        "updated",
+    )
 
     def __init__(self) -> None:
+        self._latency_s = 0.0
+        self._queueing = 1.0
         self.count = 0
         self.mean_s = 0.0
         self.tail_s = 0.0
         self.rate = 0.0
         self.updated = 0.0
 
-    def observe(self, latency_s: float, now: float) -> None:
-        """Take one latency, in seconds, without time queued on the server."""
+    def observe(self, latency_s: float, queueing: float, now: float) -> None:
+        """Take one latency in seconds and the factor that queueing made it longer by.
+
+        The mean is the quotient of the means: the factor is the one at the end of
+        the request, which on average but not for each request equals that at its
+        start, and a mean of quotients would come out too high.
+        """
         self.count += 1
         weight = max(MEAN_WEIGHT, 1 / self.count)
-        self.mean_s += weight * (latency_s - self.mean_s)
+        self._latency_s += weight * (latency_s - self._latency_s)
+        self._queueing += weight * (queueing - self._queueing)
+        self.mean_s = self._latency_s / self._queueing
+        latency_s /= queueing
         if self.count == 1:
             self.tail_s = 2 * latency_s
         # Stochastic approximation of the quantile: steps up and down balance when
@@ -67,7 +85,9 @@
         self._long: dict[str, set[str]] = {}
         self._judged: dict[str, float] = {}
 
-    def observe(self, group: str, request_class: str, latency_s: float) -> None:
+    def observe(
+        self, group: str, request_class: str, latency_s: float, queueing: float = 1.0
+    ) -> None:
         """Take the cost of one answered request.
 
         Parameters
@@ -77,13 +97,15 @@
         request_class : str
             Class of the request.
         latency_s : float
-            Time on the server without queueing, in seconds.
+            Time from sending to the end of the response, in seconds.
+        queueing : float, default=1.0
+            Factor by which queueing on the server lengthened it.
         """
         classes = self._costs.setdefault(group, {})
         cost = classes.get(request_class)
         if cost is None:
             cost = classes[request_class] = ClassCost()
-        cost.observe(latency_s, self._timers.now())
+        cost.observe(latency_s, queueing, self._timers.now())
 
     def cost(self, group: str, request_class: str) -> ClassCost | None:
         """Return what is known of a class, or None."""
--- a/src/geraniumbend/routing/_policies.py
+++ b/src/geraniumbend/routing/_policies.py
@@ -12,7 +12,7 @@
 
 # Servers sampled for one choice. One gateway sees the true load of the servers only
 # through reports; choosing the best of all would send all gateways to the same one.
-SAMPLES = 3
+SAMPLES = 4
 # Cost of a hop to another failure domain and back, in seconds.
 HOP_S = 0.001
 # Errors up to this share are not charged, since a single old failure would
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -176,21 +176,22 @@
         view.finish(request_class, outcome, now)
         failed = outcome.failed or outcome.status >= 500
         if not failed:
-            reported = view.reported_in_flight()
-            fresh = reported is not None and now - view.report_at < 1.0
-            queueing = max(1.0, (reported or 0.0) / view.slots) if fresh else 1.0
+            queueing = view.measure_queueing(now)
             for group in view.groups:
                 self._table.costs.observe(
-                    group, request_class, outcome.latency_s / queueing
+                    group, request_class, outcome.latency_s, queueing
                 )
         if view.server_id in self._avoided:
             self._finish_trial(view, failed)
 
     def observe_report(self, view: ServerView, header_value: str) -> None:
-        """Take the ``endpoint-load-metrics`` header of a response."""
+        """Take the ``endpoint-load-metrics`` header of a response.
+
+        To be called before `finish_request` of the same request.
+        """
         report = parse_report(header_value)
         if report is not None:
-            view.observe_report(report, self._timers.now())
+            view.observe_report(report, self._timers.now(), response=True)
 
     def _members(self, group: str) -> list[ServerView]:
         members = self._table.available(group)
--- a/src/geraniumbend/routing/_views.py
+++ b/src/geraniumbend/routing/_views.py
@@ -12,6 +12,8 @@
 
 # A report counts fully when new and by 1/e at this age, in seconds.
 REPORT_DECAY_S = 1.0
+# A report counts as that of the response at hand up to this age, in seconds.
+FRESH_REPORT_S = 1.0
 # A report above this many times the slots is cut, so that a false report cannot
 # keep a server out for longer than the report lives.
 REPORT_CEILING = 4.0
@@ -80,6 +82,7 @@
         self.report_at = -math.inf
         self.trial_at = -math.inf
         self.trial_failures = 0
+        self.reports_exclude_sender = False
         self._own_at_report = 0
         self._error_rate = 0.0
         self._error_at = now
@@ -122,11 +125,39 @@
         """Return this gateway's own requests of some classes on the server."""
         return sum(len(self._started.get(name, ())) for name in request_classes)
 
-    def observe_report(self, report: LoadReport, now: float) -> None:
-        """Take a load report that arrived just now."""
+    def observe_report(
+        self, report: LoadReport, now: float, response: bool = False
+    ) -> None:
+        """Take a load report that arrived just now.
+
+        Parameters
+        ----------
+        report : LoadReport
+            Report.
+        now : float
+            Present time in seconds.
+        response : bool, default=False
+            The report came with the response to a request that is still counted in
+            `in_flight`. A server that ever reports 0 there does not count the request
+            that it answers.
+        """
         self.report = report
         self.report_at = now
-        self._own_at_report = self.in_flight
+        if response and report.in_flight == 0:
+            self.reports_exclude_sender = True
+        excluded = response and self.reports_exclude_sender
+        self._own_at_report = self.in_flight - excluded
+
+    def measure_queueing(self, now: float) -> float:
+        """Return the factor by which queueing on the server lengthened a response.
+
+        By Little's law a request that finds all slots busy takes requests per slot
+        times its service time.
+        """
+        reported = self.reported_in_flight()
+        if reported is None or now - self.report_at > FRESH_REPORT_S:
+            return 1.0
+        return max(1.0, (reported + self.reports_exclude_sender) / self.slots)
 
     def reported_in_flight(self) -> float | None:
         """Return requests on the server by its last report, within bounds."""
