--- a/src/geraniumbend/membership/_gossip.py
+++ b/src/geraniumbend/membership/_gossip.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import math
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
 from geraniumbend.errors import GeraniumbendError, ProtocolError
@@ -8,6 +9,7 @@
 from geraniumbend.membership._budget import DATAGRAM_OVERHEAD_BYTES
 from geraniumbend.membership._records import (
     EPHEMERAL,
+    MEMBER,
     Record,
     pack_record,
     unpack_records,
@@ -16,7 +18,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
     from geraniumbend.membership._budget import ByteBudget
     from geraniumbend.membership._records import Identity
@@ -25,6 +27,8 @@
 
 PING, ACK, PING_REQ, GOSSIP, NOTIFY, NOTIFY_ACK = 1, 2, 3, 4, 5, 6
 GOSSIP_PERIOD_S = 0.1
+# Loads and demand wait for each other: a datagram costs as much as two records.
+EPHEMERAL_PERIOD_S = 0.5
 FANOUT = 3
 MESSAGE_BYTES = 1_200
 # Serialized message without records: type, number, names and address.
@@ -109,7 +113,8 @@
         self._peers: Callable[[str], list[tuple[str, str]]] = lambda scope: []
         self._lifetime: Callable[[Record], float] = lambda record: record.lifetime_s
         self._awake: Callable[[], bool] = lambda: True
-        self._subscription: Subscription | None = None
+        self._subscriptions: list[Subscription] = []
+        self._muted = False
         port.on_receive(self._receive)
 
     def connect(
@@ -143,15 +148,21 @@
 
     def start(self) -> None:
         """Begin the periodic spreading of changes."""
-        self._subscription = self._timers.every(GOSSIP_PERIOD_S, self.spread_now, 0.2)
+        every = self._timers.every
+        self._subscriptions = [
+            every(GOSSIP_PERIOD_S, self.spread_now, 0.2),
+            every(EPHEMERAL_PERIOD_S, self._spread_ephemeral, 0.2),
+        ]
 
     def stop(self) -> None:
         """End the periodic spreading of changes."""
-        if self._subscription is not None:
-            self._subscription.cancel()
+        for subscription in self._subscriptions:
+            subscription.cancel()
 
     def enqueue(self, record: Record) -> None:
         """Queue a change for spreading; replaces its earlier version."""
+        if self._muted and not self._is_own(record):
+            return
         self._queue.pop(record.identity, None)
         if len(self._queue) >= MAX_QUEUED:
             # Anti-entropy brings what is dropped here.
@@ -159,6 +170,25 @@
             self.dropped_changes += 1
         self._queue[record.identity] = _Queued(record)
 
+    @contextmanager
+    def mute(self, muted: bool) -> Iterator[None]:
+        """Do not spread what is merged meanwhile, except for own records.
+
+        Parameters
+        ----------
+        muted : bool
+            Whether to be silent; False changes nothing.
+        """
+        self._muted = muted
+        try:
+            yield
+        finally:
+            self._muted = False
+
+    def _is_own(self, record: Record) -> bool:
+        own = record.key if record.kind == MEMBER else record.owner or record.origin
+        return own == self.node
+
     def heard_again(self, record: Record) -> None:
         """Count a change that a peer sent although it is known here."""
         queued = self._queue.get(record.identity)
@@ -194,36 +224,38 @@
         room = MESSAGE_BYTES - EMPTY_MESSAGE_BYTES - len(fields.get("value", b""))
         records = fields.pop("records", [])
         if self._budget.available() > 0:
-            records = records + self._take_changes(room, GOSSIP)
+            records = records + self._take_changes(room)
         return self._transmit(type, address, records, fields)
 
     def spread_now(self) -> None:
         """Send queued changes to a few random peers."""
-        for scope in ("", *sorted(EPHEMERAL)):
-            if not any((q.record.kind == scope) or not scope for q in self._values()):
-                continue
-            peers = self._peers(scope)
-            if not peers:
-                continue
-            for _, address in self._rng.sample(peers, min(FANOUT, len(peers))):
-                if self._budget.available() <= 0:
-                    return
-                room = MESSAGE_BYTES - EMPTY_MESSAGE_BYTES
-                records = self._take_changes(room, GOSSIP, scope)
-                if records:
-                    self._transmit(GOSSIP, address, records, {})
+        self._spread("")
+
+    def _spread_ephemeral(self) -> None:
+        for kind in sorted(EPHEMERAL):
+            self._spread(kind)
+
+    def _spread(self, scope: str) -> None:
+        if not any(_in_scope(queued.record, scope) for queued in self._values()):
+            return
+        peers = self._peers(scope)
+        for _, address in self._rng.sample(peers, min(FANOUT, len(peers))):
+            if self._budget.available() <= 0:
+                return
+            records = self._take_changes(MESSAGE_BYTES - EMPTY_MESSAGE_BYTES, scope)
+            if records:
+                self._transmit(GOSSIP, address, records, {})
 
     def _values(self) -> list[_Queued]:
         return list(self._queue.values())
 
-    def _take_changes(self, room: int, type: int, scope: str = "") -> list[Record]:
+    def _take_changes(self, room: int, scope: str = "") -> list[Record]:
         taken: list[Record] = []
         nodes = len(self._peers("")) + 1
         # The least often sent change goes first.
         for queued in sorted(self._values(), key=lambda q: q.sent):
             record = queued.record
-            in_scope = record.kind == scope if scope else record.kind not in EPHEMERAL
-            if not in_scope or queued.size > room:
+            if not _in_scope(record, scope) or queued.size > room:
                 continue
             room -= queued.size
             queued.sent += 1
@@ -238,8 +270,9 @@
         message = load_structs("membership").GossipMessage(
             type=type,
             sender=self.node,
-            records=[pack_record(record) for record in records],
-            **fields,
+            records=[pack_record(record) for record in records] or None,
+            **{"target": None, "target_address": None, "kind": None, "value": None}
+            | fields,
         )
         payload = encode(message)
         self._budget.charge(len(payload) + DATAGRAM_OVERHEAD_BYTES)
@@ -266,3 +299,7 @@
             self._merge(message.sender, record)
         if handler is not None:
             handler(address, message)
+
+
+def _in_scope(record: Record, scope: str) -> bool:
+    return record.kind == scope if scope else record.kind not in EPHEMERAL
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -142,6 +142,7 @@
         self._sync = AntiEntropy(
             self.name,
             self._table,
+            self._gossip,
             self._budget,
             clients,
             self._merge,
--- a/src/geraniumbend/membership/_published.py
+++ b/src/geraniumbend/membership/_published.py
@@ -38,6 +38,8 @@
 EPHEMERAL_TRANSMISSIONS = 3
 EPHEMERAL_BURST_BYTES = 400
 MAX_PUBLISHED_BYTES = 900
+# Field headers and numbers of a serialized record, and its part of a datagram.
+RECORD_BYTES = 90
 
 
 class PublishedRecords:
@@ -109,7 +111,7 @@
                 f"record {kind}/{key} of {len(value)} bytes cannot be published",
                 f"use another kind and at most {MAX_PUBLISHED_BYTES} bytes",
             )
-        size = len(value) + len(key) + 60
+        size = len(value) + len(key) + len(self._members.name) + RECORD_BYTES
         if kind in EPHEMERAL and not self._allowance.try_charge(size):
             return False
         self._write(kind, key, value, lifetime_s)
@@ -188,7 +190,8 @@
             return
         value = load_structs("membership").LoadValue(in_flight=in_flight, slots=slots)
         encoded = encode(value)
-        if not self._allowance.try_charge(len(encoded) + len(server_id) + 50):
+        size = len(encoded) + len(server_id) + len(self._members.name) + RECORD_BYTES
+        if not self._allowance.try_charge(size):
             return
         self._reported[server_id] = (now, in_flight)
         entry = self._table.get(LOAD, "", server_id)
--- a/src/geraniumbend/membership/_records.py
+++ b/src/geraniumbend/membership/_records.py
@@ -222,16 +222,17 @@
 
 def pack_record(record: Record) -> Any:
     """Return the thrift struct of a record."""
+    # Fields that are None are not sent; the receiver fills in the same defaults.
     return load_structs("membership").RecordDelta(
         kind=record.kind,
-        owner=record.owner,
-        key=record.key,
-        major=record.major,
-        minor=record.minor,
-        state=record.state,
-        origin=record.origin,
-        value=record.value,
-        lifetime_ms=int(record.lifetime_s * 1000),
+        owner=record.owner or None,
+        key=record.key or None,
+        major=record.major or None,
+        minor=record.minor or None,
+        state=record.state or None,
+        origin=record.origin or None,
+        value=record.value or None,
+        lifetime_ms=int(record.lifetime_s * 1000) or None,
     )
 
 
@@ -244,13 +245,15 @@
         If a field is missing or out of range.
     """
     texts = (delta.kind, delta.owner, delta.key, delta.origin)
+    # The default of a binary field that is absent is an empty str in thriftpy2.
+    value = delta.value or b""
     numbers = (delta.major, delta.minor, delta.state, delta.lifetime_ms)
     valid = (
         all(isinstance(text, str) and len(text) <= MAX_TEXT for text in texts)
         and bool(delta.kind)
         and all(isinstance(number, int) and number >= 0 for number in numbers)
-        and isinstance(delta.value, bytes)
-        and len(delta.value) <= MAX_VALUE_BYTES
+        and isinstance(value, bytes)
+        and len(value) <= MAX_VALUE_BYTES
     )
     if not valid:
         raise ProtocolError(
@@ -266,7 +269,7 @@
         delta.minor,
         delta.state,
         delta.origin,
-        delta.value,
+        value,
         lifetime,
     )
 
--- a/src/geraniumbend/membership/_sync.py
+++ b/src/geraniumbend/membership/_sync.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
     from geraniumbend.membership._budget import ByteBudget
+    from geraniumbend.membership._gossip import Gossip
     from geraniumbend.membership._records import RecordTable
     from geraniumbend.ports import RpcCaller
 
@@ -31,6 +32,7 @@
 # byte budget, so that one answer does not silence a node.
 MAX_PAIRS = 128
 MAX_ROUNDS = 200
+MAX_SPREAD = 32
 TIMEOUT_S = 1.0
 # TCP and frame headers of one call, acknowledgement included.
 CALL_OVERHEAD_BYTES = 150
@@ -49,6 +51,8 @@
         Name of this node.
     table : RecordTable
         Store of the records.
+    gossip : Gossip
+        Spreads what is new.
     budget : ByteBudget
         Bytes that may be sent.
     clients : RpcCaller
@@ -66,6 +70,7 @@
         self,
         node: str,
         table: RecordTable,
+        gossip: Gossip,
         budget: ByteBudget,
         clients: RpcCaller,
         merge: Callable[[str, Record], None],
@@ -74,6 +79,7 @@
     ) -> None:
         self._node = node
         self._table = table
+        self._gossip = gossip
         self._budget = budget
         self._clients = clients
         self._merge = merge
@@ -150,11 +156,11 @@
                 wanted.append(key_hash)
         if not wanted and not pushed:
             return False
-        await self._exchange(address, wanted, pushed[:MAX_PAIRS])
+        await self._exchange(address, wanted, pushed[:MAX_PAIRS], replace)
         return not response.complete or len(pushed) > MAX_PAIRS
 
     async def _exchange(
-        self, address: str, wanted: list[int], pushed: list[Record]
+        self, address: str, wanted: list[int], pushed: list[Record], replace: bool
     ) -> None:
         structs = load_structs("membership")
         message = structs.ExchangeMessage(
@@ -163,8 +169,14 @@
         )
         body = await self._call(address, EXCHANGE_METHOD, encode(message))
         answer = decode(structs.ExchangeMessage, body)
-        for record in unpack_records(answer.records):
-            self._merge(address, record)
+        self._merge_all(address, unpack_records(answer.records), replace)
+
+    def _merge_all(self, sender: str, records: list[Record], joining: bool) -> None:
+        # What a joining node learns is not new to the others. A large difference, as
+        # after a partition, travels by anti-entropy, which sends a record once a pair.
+        with self._gossip.mute(joining or len(records) > MAX_SPREAD):
+            for record in records:
+                self._merge(sender, record)
 
     def _is_foreign(self, entry: Entry) -> bool:
         record = entry.record
@@ -208,8 +220,7 @@
         if len(wanted) % 8 or len(wanted) > 64 * MAX_PAIRS:
             raise ProtocolError("exchange names too many records")
         self._check_answering()
-        for record in unpack_records(message.records):
-            self._merge("", record)
+        self._merge_all("", unpack_records(message.records), joining=False)
         hashes = struct.unpack(f"!{len(wanted) // 8}Q", wanted)
         entries = [self._table.by_hash(key_hash) for key_hash in hashes]
         records = [entry.record for entry in entries if entry is not None]
