--- a/src/geraniumbend/adapters/_backend_protocol.py
+++ b/src/geraniumbend/adapters/_backend_protocol.py
@@ -44,6 +44,7 @@
         self.uses = 0
         self._watcher: asyncio.Future[None] | None = None
         self._interruptible = False
+        self._poll: select.poll | None = None
 
     def open_request(self, method: str) -> None:
         """Prepare the parser for the answer to a request."""
@@ -68,11 +69,12 @@
         """
         if self.should_close or not self.is_connected():
             return False
-        assert self.transport is not None
-        socket = self.transport.get_extra_info("socket")
-        poll = select.poll()
-        poll.register(socket.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
-        return not poll.poll(0)
+        if self._poll is None:
+            assert self.transport is not None
+            socket = self.transport.get_extra_info("socket")
+            self._poll = select.poll()
+            self._poll.register(socket.fileno(), select.POLLIN)
+        return not self._poll.poll(0)
 
     async def wait_message(self, delay_s: float, interruptible: bool = False) -> bool:
         """Wait until a message or an error is there.
--- a/src/geraniumbend/adapters/_http_upstream.py
+++ b/src/geraniumbend/adapters/_http_upstream.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from geraniumbend.adapters._server_pool import ServerPool
+from geraniumbend.proxying import UpstreamError
 
 if TYPE_CHECKING:
     import ssl
@@ -27,6 +28,8 @@
         Returns this gateway's part of a backend server's connections, 0 to 1.
     tls : ssl.SSLContext or None, default=None
         TLS to backend servers.
+    on_unreachable : callable or None, default=None
+        Called with the id of a server to which no connection could be opened.
     """
 
     def __init__(
@@ -34,7 +37,9 @@
         timers: TimerService,
         share: Callable[[], float],
         tls: ssl.SSLContext | None = None,
+        on_unreachable: Callable[[str], None] | None = None,
     ) -> None:
+        self._on_unreachable = on_unreachable
         self._timers = timers
         self._share = share
         self._tls = tls
@@ -46,7 +51,13 @@
         pool = self._pools.get(server.server_id)
         if pool is None or pool.server is not server:
             pool = self._update_pool(pool, server)
-        return await pool.send(request)
+        try:
+            return await pool.send(request)
+        except UpstreamError as error:
+            unreachable = error.run == "not_run" and not error.timed_out
+            if unreachable and self._on_unreachable is not None:
+                self._on_unreachable(server.server_id)
+            raise
 
     def retain(self, servers: Iterable[BackendServer]) -> None:
         """Drop the pools of backend servers that are not listed."""
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -18,7 +18,7 @@
 from geraniumbend.proxying import Proxy, ProxyParts
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.retries import RetryBudget
-from geraniumbend.routing import LoadReport, Router, ServerTable
+from geraniumbend.routing import LoadReport, Router, ServerTable, parse_selector
 from geraniumbend.timers import LoopTimers
 
 if TYPE_CHECKING:
@@ -66,6 +66,7 @@
             timers,
             self._shares.gateway_share,
             create_client_context(gateway.backend_tls) if gateway.backend_tls else None,
+            self._membership.report_failed,
         )
         self._budget = RetryBudget.from_config(
             settings, self._membership, self._shares, timers
@@ -188,6 +189,18 @@
         self._upstream.retain(servers.values())
 
     def _update_configuration(self, configuration: Configuration) -> None:
+        selectors = {
+            name: parse_selector(group.selector)
+            for name, group in configuration.groups.items()
+        }
+
+        def list_groups(server: BackendServer) -> list[str]:
+            override = configuration.label_overrides.get(server.server_id, {})
+            labels = {**server.labels, **override}
+            effective = {name: value for name, value in labels.items() if value}
+            return [n for n, wanted in selectors.items() if wanted.matches(effective)]
+
+        self._membership.set_grouping(list_groups)
         self._table.update(self._membership.servers(), configuration)
         self._membership.set_revision(configuration.revision)
 
