Let a new control host serve its first subscribers at once

The gateway's readiness test still expected readiness without a majority's confirmation, which the subscription no longer gives. Ruled out: lost leadership; the test's cluster has a fixed leader. Change: the first check runs at the start. The readiness test is stricter: installed but unconfirmed is unready, confirmed is ready. Conclusion: fixed at the cause.

--- a/src/geraniumbend/configuration/_subscriptions.py
+++ b/src/geraniumbend/configuration/_subscriptions.py
@@ -47,6 +47,7 @@
         self._timers = timers
         self._signal = Signal(timers)
         self._in_touch_at: float | None = None
+        self._first_check: Subscription | None = None
         self._checking: Subscription | None = None
         store.subscribe(self._signal.notify)
 
@@ -56,12 +57,15 @@
 
     def start(self) -> None:
         """Start to check whether this host is in touch with the majority."""
+        # Without a check right away a new control host refuses its first subscribers.
+        self._first_check = self._timers.after(0, self.check)
         self._checking = self._timers.every(CHECK_PERIOD_S, self.check, 0.2)
 
     def stop(self) -> None:
         """Stop the checks."""
-        if self._checking is not None:
-            self._checking.cancel()
+        for check in (self._first_check, self._checking):
+            if check is not None:
+                check.cancel()
 
     @property
     def in_touch(self) -> bool:
--- a/tests/adapters/test_operators_api.py
+++ b/tests/adapters/test_operators_api.py
@@ -121,6 +121,7 @@
             path = f"/v1/{path}?expected_revision={number}"
             self.assertEqual((await self.send("DELETE", path))[0], 200, path)
         _, watched = await self.send("GET", "/v1/watch?revision=3&wait_s=1")
+        self.assertIn("changes", watched, watched)
         self.assertEqual([c["revision"] for c in watched["changes"]], [4, 5])
         _, history = await self.send("GET", "/v1/history?limit=2")
         self.assertEqual([e["revision"] for e in history["history"]], [5, 4])
--- a/tests/roles/test_gateway.py
+++ b/tests/roles/test_gateway.py
@@ -70,9 +70,12 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
-    async def test_ready_only_with_a_configuration(self):
+    async def test_ready_only_with_a_confirmed_configuration(self):
         self.assertEqual(await self.status(f"{self.announces}/readyz"), 503)
         await self.prepare()
+        # A revision that no majority has confirmed may be older than the accepted one.
+        self.assertEqual(await self.status(f"{self.announces}/readyz"), 503)
+        self.gateway._follower.confirmed = True
         self.assertEqual(await self.status(f"{self.announces}/readyz"), 200)
         self.assertEqual(await self.status(f"{self.callers}/0"), 200)
         self.assertEqual(await self.status(f"{self.announces}/state"), 200)
