--- a/bench/_backend_server.py
+++ b/bench/_backend_server.py
@@ -101,6 +101,11 @@
             await self._runner.cleanup()
             self._runner = None
 
+    @property
+    def running(self) -> bool:
+        """Return whether the server listens."""
+        return self._runner is not None
+
     async def announce(self) -> None:
         """Send one announcement to one announce listener.
 
--- a/src/geraniumbend/adapters/_server_pool.py
+++ b/src/geraniumbend/adapters/_server_pool.py
@@ -220,7 +220,10 @@
             connection = await generation.open(max(timeout_s, 0.001))
             connected = True
         except (aiohttp.ClientError, OSError) as error:
-            raise UpstreamError(f"no connection: {error}", "not_run") from error
+            # The cause names the server's address, which is no business of callers.
+            raise UpstreamError(
+                "no connection to the backend server", "not_run", unreachable=True
+            ) from error
         finally:
             self._opening -= 1
             if not connected:
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -118,7 +118,10 @@
             try:
                 attempt = await self._send_hedged(attempt, context)
             except UpstreamError as error:
-                successor = self._begin_retry(context, error.run == "not_run")
+                if error.unreachable:
+                    successor = self._begin_replacement(context)
+                else:
+                    successor = self._begin_retry(context, error.run == "not_run")
                 if successor is None:
                     raise _explain(context, error) from error
             else:
@@ -234,6 +237,23 @@
             return None
         if not self._budget.spend(context.rule.group):
             return None
+        return self._begin_next(context)
+
+    def _begin_replacement(self, context: RequestContext) -> Attempt | None:
+        """Choose another server after a connection could not be opened.
+
+        This neither counts as an attempt nor spends the retry budget, since no server
+        got work from it; it ends when all servers of the group were tried. Otherwise
+        the loss of two servers would refuse requests while others are idle.
+        """
+        context.attempts -= 1
+        if context.single or not context.repeatable:
+            return None
+        if self._timers.now() >= context.deadline_s:
+            return None
+        return self._begin_next(context)
+
+    def _begin_next(self, context: RequestContext) -> Attempt | None:
         try:
             return self.begin(context)
         except RefusedError:
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -31,6 +31,8 @@
         The connection broke before the answer and a new one is refused.
     timed_out : bool, default=False
         The deadline passed.
+    unreachable : bool, default=False
+        No connection could be opened, so that the attempt cost the server nothing.
     """
 
     def __init__(
@@ -39,11 +41,13 @@
         run: Literal["not_run", "unknown"],
         server_lost: bool = False,
         timed_out: bool = False,
+        unreachable: bool = False,
     ) -> None:
         super().__init__(message)
         self.run = run
         self.server_lost = server_lost
         self.timed_out = timed_out
+        self.unreachable = unreachable
 
 
 class BodySource(Protocol):
--- a/tests/proxying/test_proxy.py
+++ b/tests/proxying/test_proxy.py
@@ -186,6 +186,28 @@
             self.losses = path.quarantine.losses
             return answer
 
+    async def test_unreachable_servers_neither_count_nor_spend_the_budget(self):
+        dead = [ScriptedBackend(reply()) for _ in range(3)]
+        for backend in dead:
+            await backend.__aenter__()
+            await backend.__aexit__()
+        async with (
+            ScriptedBackend(reply()) as alive,
+            DataPath(*dead, alive, rule=make_rule()) as path,
+        ):
+            path.budget.left = 0
+            answer = await path.get(method="POST", body=b"x")
+            self.assertEqual((answer[0], len(alive.received)), (200, 1))
+
+    async def test_refusal_does_not_show_the_address_of_a_server(self):
+        backend = ScriptedBackend(reply())
+        await backend.__aenter__()
+        await backend.__aexit__()
+        async with DataPath(backend, rule=make_rule()) as path:
+            status, document = problem(await path.get())
+        self.assertEqual((status, document["run"]), (503, "not_run"))
+        self.assertNotIn(str(backend.port), document["detail"])
+
     async def test_safe_request_is_retried_elsewhere(self):
         for first in (drop, send_raw(FAILED), send_raw(SHED)):
             self.assertEqual((await self.check(first))[0], 200)
