Change members from the newest list only and finish interrupted removals

A review also showed that a change decided before an election could be appended by a replica that no longer leads. Change: a voter that an uncommitted list removes still votes and may lead until the list is committed; a list is appended only by the leader and only in place of the list that the decision saw; a removal counts only voters that answer after the request.

--- a/src/geraniumbend/replication/_changes.py
+++ b/src/geraniumbend/replication/_changes.py
@@ -38,7 +38,7 @@
 
     async def add(self, name: str, address: str, is_voting: bool) -> None:
         """Add a learner, which becomes a voter later if `is_voting`."""
-        await self._require_settled()
+        await self._require_opened()
         members = self._core.members
         known = members.get(name)
         if known is not None:
@@ -56,11 +56,11 @@
                 f"wait until {waiting[0]} is a voter, or remove it",
             )
         new = Member(name, address, False, is_voting)
-        await self._leading.change_members(members.replace(new))
+        await self._leading.change_members(members, members.replace(new))
 
     async def remove(self, name: str) -> None:
         """Remove a member unless the majority would be lost."""
-        await self._require_settled()
+        await self._require_opened()
         members = self._core.members
         known = members.get(name)
         if known is None:
@@ -70,23 +70,25 @@
             )
         rest = members.without(name)
         if known.is_voter:
-            self._require_majority(rest, name)
-        await self._leading.change_members(rest)
+            await self._require_majority(rest, name)
+        await self._leading.change_members(members, rest)
         if name == self._core.node:
-            await self._leading.transfer()
-            self._core.step_down()
+            await self._leave()
 
-    async def _require_settled(self) -> None:
+    async def _require_opened(self) -> None:
         # The barrier also makes a new leader commit its first own entry, without
         # which a second change could lose a first one of an earlier term.
         await self._leading.read_barrier()
-        if not self._leading.is_settled():
-            raise ConflictError(
-                "another member change is in progress", "try again in a second"
-            )
 
-    def _require_majority(self, rest: MemberSet, name: str) -> None:
-        live = self._live_voters(rest)
+    async def _require_majority(self, rest: MemberSet, name: str) -> None:
+        # Answers from before the request would count a voter that has just died.
+        core = self._core
+        asked_at = core.timers.now()
+        deadline = asked_at + core.election_timeout_s
+        live = 0
+        while live < rest.majority() and core.timers.now() < deadline:
+            await core.timers.sleep(core.heartbeat_s / 2)
+            live = self._live_voters(rest, asked_at)
         if rest.voters() and live >= rest.majority():
             return
         raise ConflictError(
@@ -95,28 +97,40 @@
             "repair or replace the other control hosts first",
         )
 
-    def _live_voters(self, members: MemberSet) -> int:
-        return sum(self._is_live(member) for member in members.voters())
+    def _live_voters(self, members: MemberSet, since: float) -> int:
+        return sum(self._is_live(member, since) for member in members.voters())
 
-    def _is_live(self, member: Member) -> bool:
+    def _is_live(self, member: Member, since: float) -> bool:
         if member.name == self._core.node:
             return True
         peer = self._leading.peers.get(member.name)
-        return peer is not None and peer.is_live() and self._leading.counts(member)
+        return (
+            peer is not None
+            and peer.acknowledged_at >= since
+            and self._leading.counts(member)
+        )
 
     def _start_review(self) -> None:
         if not self._leading.is_settled():
             return
         if self._review is not None and not self._review.done():
             return
-        members = self._next_members()
-        if members is not None:
-            self._review = asyncio.ensure_future(self._change_quietly(members))
+        changed = self._next_members()
+        if not self._core.is_voter():
+            self._review = asyncio.ensure_future(self._leave())
+        elif changed is not None:
+            self._review = asyncio.ensure_future(
+                self._change_quietly(self._core.members, changed)
+            )
+
+    async def _leave(self) -> None:
+        await self._leading.transfer()
+        self._core.step_down()
 
-    async def _change_quietly(self, members: MemberSet) -> None:
-        # After a failure the next leader reviews the members again.
+    async def _change_quietly(self, old: MemberSet, new: MemberSet) -> None:
+        # After a failure the members are reviewed again, here or by the next leader.
         with suppress(GeraniumbendError):
-            await self._leading.change_members(members)
+            await self._leading.change_members(old, new)
 
     def _next_members(self) -> MemberSet | None:
         core = self._core
@@ -128,7 +142,8 @@
             if member.is_voter and peer.incarnation != member.incarnation:
                 learner = member._replace(is_voter=False, promote=True)
                 demoted = members.replace(learner)
-                if self._live_voters(demoted) >= demoted.majority():
+                since = core.timers.now() - core.election_timeout_s
+                if self._live_voters(demoted, since) >= demoted.majority():
                     return demoted
             elif not member.is_voter and member.promote:
                 # The learner must hold the entry that made it a learner, which is
--- a/src/geraniumbend/replication/_core.py
+++ b/src/geraniumbend/replication/_core.py
@@ -10,7 +10,8 @@
     StorageError,
     UnavailableError,
 )
-from geraniumbend.logs import declare_event, log_event
+from geraniumbend.logs import log_event
+from geraniumbend.replication import _events  # noqa: F401
 from geraniumbend.replication._entries import COMMAND, MEMBERS, Entry, EntryLog
 from geraniumbend.replication._files import Snapshot, Vote
 from geraniumbend.replication._members import MemberSet, decode_members
@@ -32,28 +33,6 @@
 # behind does not need the snapshot.
 TRAILING_ENTRIES = 500
 
-declare_event(500, "replica_leads", "info", "This replica became leader of a log.")
-declare_event(501, "replica_follows", "info", "This replica stopped leading a log.")
-declare_event(
-    502, "replica_failed", "error", "A disk write failed; check the disk and restart."
-)
-declare_event(
-    503,
-    "replica_lost_log",
-    "error",
-    "Stored files are damaged; they are kept in the folder damaged and the log is "
-    "fetched from peers.",
-)
-declare_event(504, "members_changed", "info", "The member list of a log changed.")
-declare_event(
-    505, "state_machine_failed", "error", "A committed command raised an exception."
-)
-declare_event(506, "log_compacted", "debug", "A snapshot replaced log entries.")
-declare_event(
-    507, "snapshot_installed", "info", "A snapshot of the leader replaced the log."
-)
-declare_event(508, "log_formed", "info", "All first voters are empty; the log starts.")
-
 
 class Outcome(NamedTuple):
     """A proposal that waits for its commit."""
@@ -151,15 +130,19 @@
         return self.vote.term == 0 and self.log.last_index == 0 and not self.vote.lost
 
     def can_vote(self) -> bool:
-        """Return whether votes and acknowledgements of this disk count."""
-        own = self.members.get(self.node)
-        return (
-            self.failure is None
-            and own is not None
-            and own.is_voter
-            and own.incarnation == self.vote.incarnation
+        """Return whether votes of this disk count.
+
+        A voter that an uncommitted list removes still votes and may lead: without it
+        nobody might be able to commit that list (Ongaro, section 4.2.2).
+        """
+        return self.failure is None and any(
+            self._is_voter_in(members) for _, members in self.member_sets
         )
 
+    def is_voter(self) -> bool:
+        """Return whether this replica counts for majorities of the newest list."""
+        return self.failure is None and self._is_voter_in(self.members)
+
     def check_request(self, request: Any) -> None:
         """Refuse requests of other clusters, of newer releases or after a failure."""
         if self.failure is not None:
@@ -311,6 +294,14 @@
             await asyncio.gather(self._compaction, return_exceptions=True)
         await self.storage.close()
 
+    def _is_voter_in(self, members: MemberSet) -> bool:
+        own = members.get(self.node)
+        return (
+            own is not None
+            and own.is_voter
+            and own.incarnation == self.vote.incarnation
+        )
+
     def _apply(self, entry: Entry) -> None:
         result = b""
         error: Exception | None = None
--- a/src/geraniumbend/replication/_elections.py
+++ b/src/geraniumbend/replication/_elections.py
@@ -102,7 +102,7 @@
     async def _collect(self, term: int, is_trial: bool, is_transfer: bool) -> bool:
         core = self._core
         members = core.members
-        votes = 1
+        votes = int(core.is_voter())
         tasks = [
             asyncio.ensure_future(self._ask(member, term, is_trial, is_transfer))
             for member in members.voters()
@@ -175,5 +175,4 @@
         return core.term == request.term and core.vote.voted_for == request.candidate
 
     def _is_sole_voter(self) -> bool:
-        voters = self._core.members.voters()
-        return len(voters) == 1 and self._core.can_vote()
+        return len(self._core.members.voters()) == 1 and self._core.is_voter()
--- a/src/geraniumbend/replication/_leading.py
+++ b/src/geraniumbend/replication/_leading.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from geraniumbend.errors import (
+    ConflictError,
     GeraniumbendError,
     NotLeaderError,
     ProtocolError,
@@ -55,10 +56,10 @@
     def start(self) -> None:
         """Begin to lead after a won election."""
         core = self._core
-        own = core.members.get(core.node)
-        assert own is not None
+        known = [members.get(core.node) for _, members in core.member_sets]
         core.is_leader = True
-        core.leader, core.leader_address = core.node, own.address
+        core.leader = core.node
+        core.leader_address = next(own.address for own in known if own is not None)
         self.is_transferring = False
         self._started_at = core.timers.now()
         log_event(500, shard=core.shard, term=core.term)
@@ -90,9 +91,24 @@
         await self._require_lease()
         return index
 
-    async def change_members(self, members: MemberSet) -> None:
-        """Append a member list and wait for its commit."""
-        index = self._append(MEMBERS, encode_members(members))
+    async def change_members(self, old: MemberSet, new: MemberSet) -> None:
+        """Replace the member list and wait for the commit.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica no longer leads.
+        ConflictError
+            If `old` is not the newest list or is not committed yet.
+        """
+        core = self._core
+        if not core.is_leader:
+            raise core.not_leader()
+        if core.members != old or not self.is_settled():
+            raise ConflictError(
+                "another member change is in progress", "try again in a second"
+            )
+        index = self._append(MEMBERS, encode_members(new))
         self.update_peers()
         await self._wait_outcome(index)
 
@@ -122,7 +138,7 @@
     def counts(self, member: Member) -> bool:
         """Return whether acknowledgements of a voter count."""
         if member.name == self._core.node:
-            return self._core.can_vote()
+            return self._core.is_voter()
         peer = self.peers.get(member.name)
         return peer is not None and peer.incarnation == member.incarnation
 
@@ -168,7 +184,7 @@
             Whether a voter was asked to take over.
         """
         core = self._core
-        if len(core.members.voters()) < 2:
+        if all(member.name == core.node for member in core.members.voters()):
             return False
         self.is_transferring = True
         deadline = core.timers.now() + core.election_timeout_s
--- a/tests/adapters/test_disk.py
+++ b/tests/adapters/test_disk.py
@@ -12,7 +12,8 @@
 from geraniumbend.replication import Replica, create_backup, restore_backup
 from geraniumbend.settings import ControlSettings
 from geraniumbend.timers import LoopTimers
-from tests.replication.fakes import ListMachine, MemoryClients, MemoryNetwork
+from tests.replication.cluster import ListMachine
+from tests.replication.fakes import MemoryClients, MemoryNetwork
 
 
 class LocalDiskTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/replication/test_faults.py
+++ b/tests/replication/test_faults.py
@@ -6,7 +6,8 @@
 
 from geraniumbend.errors import GeraniumbendError, StorageError, UnavailableError
 from geraniumbend.replication import _core, _peers
-from tests.replication.fakes import MemoryDisk, ReplicationTestCase
+from tests.replication.cluster import ReplicationTestCase
+from tests.replication.fakes import MemoryDisk
 
 
 class FaultTest(ReplicationTestCase):
--- a/tests/replication/test_fuzz.py
+++ b/tests/replication/test_fuzz.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import unittest
+from contextlib import suppress
 from itertools import pairwise
 from unittest.mock import patch
 
@@ -19,10 +20,13 @@
 
 from geraniumbend.errors import GeraniumbendError, StorageError
 from geraniumbend.replication import _core
-from tests.replication.fakes import Cluster, MemoryDisk
+from tests.replication.cluster import Cluster
+from tests.replication.fakes import MemoryDisk
 
 EXAMPLES = int(os.environ.get("GERANIUMBEND_FUZZ_EXAMPLES", "0"))
 NODES = st.sampled_from(["n1", "n2", "n3"])
+# n4 and n5 are started empty when they are first added.
+ALL_NODES = st.sampled_from(["n1", "n2", "n3", "n4", "n5"])
 
 
 class LogMachine(RuleBasedStateMachine):
@@ -39,6 +43,7 @@
         self.acknowledged = {}
         self.proposals = []
         self.reads = []
+        self.changes = []
         self.count = 0
         self.wiped = None
 
@@ -52,28 +57,56 @@
     def wait(self, seconds):
         self.runner.run(self.cluster.run(seconds))
 
-    @rule(amount=st.integers(1, 5))
-    def propose(self, amount):
+    @rule()
+    def recover(self):
+        """Bring everything back, so that later faults meet a working log."""
+        self.cluster.network.heal()
+        for node in sorted(self.cluster.disks):
+            replica = self.cluster.replicas.get(node)
+            if replica is not None and replica.dump()["role"] == "failed":
+                self.kill(node)
+            self.restart(node)
+        self.wait(1.5)
+
+    @rule(amount=st.integers(1, 12), seconds=st.sampled_from([0.0, 0.05, 0.3]))
+    def propose(self, amount, seconds):
         self.runner.run(self._propose(amount))
+        self.wait(seconds)
 
     @rule()
     def read(self):
         self.runner.run(self._read())
 
-    @precondition(lambda self: len(self.cluster.nodes) > 1)
-    @rule(node=NODES)
+    @rule(node=ALL_NODES)
     def kill(self, node):
         if node in self.cluster.replicas:
             self.runner.run(self.cluster.kill(node))
 
-    @rule(node=NODES)
+    @rule(node=ALL_NODES)
     def restart(self, node):
-        if node not in self.cluster.replicas:
+        if node in self.cluster.disks and node not in self.cluster.replicas:
             try:
                 self.runner.run(self.cluster.start(node))
             except StorageError:
                 self.cluster.disks[node].crash(self.cluster.rng)
 
+    @rule(node=ALL_NODES)
+    def stop(self, node):
+        if node in self.cluster.replicas:
+            self.runner.run(self.cluster.stop_gracefully(node))
+
+    @rule(node=ALL_NODES, voting=st.booleans())
+    def add_member(self, node, voting):
+        if node not in self.cluster.disks:
+            self.runner.run(self.cluster.start(node))
+        self._change(lambda replica: replica.add_member(node, node, voting))
+        self.wait(0.3)
+
+    @precondition(lambda self: self._is_repaired())
+    @rule(node=ALL_NODES)
+    def remove_member(self, node):
+        self._change(lambda replica: replica.remove_member(node))
+
     @rule(node=NODES, steps=st.integers(1, 12))
     def break_disk(self, node, steps):
         disk = self.cluster.disks[node]
@@ -94,7 +127,14 @@
     @precondition(lambda self: self._is_repaired())
     @rule(node=NODES)
     def wipe(self, node):
-        """Lose the whole disk of one replica, never of two at a time."""
+        """Lose the whole disk of one replica.
+
+        Never of two at a time, and not while a voter is removed: both would take
+        away a majority for good.
+        """
+        self.wait(0.7)
+        if len(self._voters()) < 3:
+            return
         if node in self.cluster.replicas:
             self.runner.run(self.cluster.kill(node))
         self.cluster.disks[node] = MemoryDisk()
@@ -119,12 +159,32 @@
         finally:
             self.runner.close()
 
+    def _voters(self):
+        for replica in self.cluster.replicas.values():
+            if replica.is_leader and replica._leading.is_settled():
+                return [m.name for m in replica.members() if m.role == "voter"]
+        return []
+
     def _is_repaired(self):
         if self.wiped is None:
             return True
         replica = self.cluster.replicas.get(self.wiped)
         return replica is not None and replica.dump()["role"] in ("leader", "follower")
 
+    def _change(self, start):
+        async def change():
+            for replica in list(self.cluster.replicas.values()):
+                if replica.dump()["role"] == "leader":
+                    attempt = asyncio.ensure_future(self._attempt(start(replica)))
+                    self.changes.append(attempt)
+            await asyncio.sleep(0)
+
+        self.runner.run(change())
+
+    async def _attempt(self, change):
+        with suppress(GeraniumbendError):
+            await change
+
     async def _propose(self, amount):
         for name in self.cluster.nodes:
             replica = self.cluster.replicas[name]
@@ -173,10 +233,15 @@
             await cluster.kill(name)
         for disk in cluster.disks.values():
             disk.crash(cluster.rng)
-        await cluster.start()
+        await cluster.start(*sorted(cluster.disks))
         try:
-            commands = await cluster.converge()
-            await cluster.finish(asyncio.gather(*self.proposals, *self.reads))
+            leader = await cluster.leader()
+            await cluster.run(2)
+            leader = await cluster.leader()
+            voters = [m.name for m in leader.members() if m.role == "voter"]
+            commands = await cluster.converge(voters)
+            waiting = (*self.proposals, *self.reads, *self.changes)
+            await cluster.finish(asyncio.gather(*waiting))
         finally:
             await cluster.stop()
         for command, position in self.acknowledged.items():
--- a/tests/replication/test_members.py
+++ b/tests/replication/test_members.py
@@ -1,8 +1,12 @@
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
+
 from geraniumbend.errors import (
     ConfigurationError,
     ConflictError,
+    GeraniumbendError,
     NotLeaderError,
     StorageError,
     UnavailableError,
@@ -13,12 +17,8 @@
     describe_backup,
     restore_backup,
 )
-from tests.replication.fakes import (
-    Cluster,
-    MemoryClients,
-    MemoryDisk,
-    ReplicationTestCase,
-)
+from tests.replication.cluster import Cluster, ReplicationTestCase
+from tests.replication.fakes import MemoryClients, MemoryDisk
 
 
 class MembersTest(ReplicationTestCase):
@@ -74,6 +74,27 @@
         with self.assertRaises(ConfigurationError):
             await cluster.finish(leader.remove_member("nobody"))
 
+    async def test_leader_lost_during_its_own_removal_does_not_block_the_rest(self):
+        """Guards against a list that nobody may vote for (fuzz, seed 3314)."""
+        cluster = await self.open(2, latency_s=0.05)
+        leader = await cluster.leader()
+        other = next(name for name in cluster.nodes if name != leader.node)
+        removal = asyncio.ensure_future(leader.remove_member(leader.node))
+        while len(leader.members()) > 1:
+            await cluster.timers.advance(0.001)
+        cluster.network.cut = {(leader.node, other)}
+        await cluster.run(0.1)
+        for name in (leader.node, other):
+            await cluster.kill(name)
+        with suppress(GeraniumbendError):
+            await cluster.finish(removal)
+        cluster.network.heal()
+        await cluster.start()
+        await cluster.propose("second")
+        await cluster.run(2)
+        self.assertEqual(cluster.machines[other].commands, ["first", "second"])
+        self.assertTrue(cluster.replicas[other].is_leader)
+
     async def test_removed_leader_hands_over_and_the_rest_goes_on(self):
         cluster = await self.open()
         leader = await cluster.leader()
--- a/tests/replication/test_partitions.py
+++ b/tests/replication/test_partitions.py
@@ -5,7 +5,7 @@
 
 from geraniumbend.errors import NotLeaderError, UnavailableError
 from geraniumbend.replication import _core
-from tests.replication.fakes import ReplicationTestCase
+from tests.replication.cluster import ReplicationTestCase
 
 
 class PartitionTest(ReplicationTestCase):
--- a/tests/replication/test_protocol.py
+++ b/tests/replication/test_protocol.py
@@ -2,11 +2,17 @@
 
 import asyncio
 
-from geraniumbend.errors import ProtocolError, UnavailableError
+from geraniumbend.errors import (
+    ConflictError,
+    NotLeaderError,
+    ProtocolError,
+    UnavailableError,
+)
 from geraniumbend.replication import LogClient
 from geraniumbend.replication._messages import MESSAGE_VERSION, method_name
 from geraniumbend.wire import decode, encode, load_structs
-from tests.replication.fakes import Cluster, MemoryClients, ReplicationTestCase
+from tests.replication.cluster import Cluster, ReplicationTestCase
+from tests.replication.fakes import MemoryClients
 
 STRUCTS = load_structs("replication")
 
@@ -199,6 +205,22 @@
         leading.advance_commit()
         self.assertEqual(core.commit_index, committed)
 
+    async def test_member_list_is_changed_by_the_leader_and_from_the_newest_only(self):
+        """Guards against a change decided before another one or before an election."""
+        cluster = await self.open()
+        leader = await cluster.leader()
+        old = leader._core.members
+        await cluster.finish(leader.add_member("n4", "n4", voting=False))
+        with self.assertRaises(ConflictError):
+            await leader._leading.change_members(old, old)
+        for replica in cluster.replicas.values():
+            if replica is not leader:
+                last = replica.dump()["last_index"]
+                members = replica._core.members
+                with self.assertRaises(NotLeaderError):
+                    await replica._leading.change_members(members, members)
+                self.assertEqual(replica.dump()["last_index"], last)
+
     async def test_client_sends_a_call_with_unknown_outcome_once(self):
         """Guards against a command that is applied twice after a lost answer."""
         cluster = Cluster(3)
--- a/tests/replication/test_replica.py
+++ b/tests/replication/test_replica.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from geraniumbend.errors import NotLeaderError, UnavailableError
-from tests.replication.fakes import ReplicationTestCase
+from tests.replication.cluster import ReplicationTestCase
 
 
 class ReplicaTest(ReplicationTestCase):
