--- a/bench/_operator.py
+++ b/bench/_operator.py
@@ -10,6 +10,7 @@
 
 ATTEMPT_TIMEOUT_S = 8.0
 RETRY_S = 0.1
+FIND_LEADER_S = 10.0
 
 
 class Accepted(NamedTuple):
@@ -93,13 +94,21 @@
         Raises
         ------
         UnavailableError
-            If none does.
+            If none does within 10 s.
         """
-        for number, address in enumerate(self.addresses):
-            async with self._session.get(address + "/v1/state") as answer:
-                state = await answer.json()
-            if any(e["shard"] == log and e["role"] == "leader" for e in state["logs"]):
-                return number
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + FIND_LEADER_S
+        while loop.time() < deadline:
+            for number, address in enumerate(self.addresses):
+                try:
+                    async with self._session.get(address + "/v1/state") as answer:
+                        state = await answer.json()
+                except (aiohttp.ClientError, TimeoutError):
+                    continue
+                for entry in state["logs"]:
+                    if entry["shard"] == log and entry["role"] == "leader":
+                        return number
+            await asyncio.sleep(RETRY_S)
         raise UnavailableError(f"log {log} has no leader", "wait for the election")
 
     async def _ask(self, method: str, path: str, body: Any, limit_s: float) -> Any:
--- a/bench/_orders.py
+++ b/bench/_orders.py
@@ -228,11 +228,20 @@
 async def _run_with_faults(
     cluster: Cluster, operator: Operator, caller: OrderCaller, options: Options
 ) -> list[str]:
-    choice = random.Random(options.seed)
     end_s = asyncio.get_running_loop().time() + FAULT_LOAD_S * options.scale
     load = [
         asyncio.create_task(caller.place_until(end_s, True)) for _ in range(CALLERS)
     ]
+    try:
+        return await _kill_in_turn(cluster, operator, options.seed, end_s)
+    finally:
+        await asyncio.gather(*load)
+
+
+async def _kill_in_turn(
+    cluster: Cluster, operator: Operator, seed: int, end_s: float
+) -> list[str]:
+    choice = random.Random(seed)
     done: list[str] = []
     kinds = ["gateway", "leader", "both"]
     while asyncio.get_running_loop().time() < end_s - 2 * DOWN_S:
@@ -248,5 +257,4 @@
         await asyncio.sleep(DOWN_S)
         await asyncio.gather(*(victim.start() for victim in victims))
         await asyncio.sleep(DOWN_S)
-    await asyncio.gather(*load)
     return done
--- a/src/geraniumbend/configuration/_subscriptions.py
+++ b/src/geraniumbend/configuration/_subscriptions.py
@@ -97,6 +97,9 @@
             If this host is not in touch with the majority.
         """
         deadline = self._timers.now() + min(limit_s, MAX_WAIT_S)
+        if not self.in_touch:
+            # The periodic check has not run yet, or a busy event loop delayed it.
+            await self.check()
         while True:
             if not self.in_touch:
                 raise UnavailableError(
--- a/src/geraniumbend/orders/_service.py
+++ b/src/geraniumbend/orders/_service.py
@@ -82,7 +82,7 @@
             self._ticking.cancel()
 
     def block(self, reason: str) -> None:
-        """Refuse all claims from now on."""
+        """Refuse all claims from now on, with a reason; an empty one allows them."""
         self._blocked = reason
 
     def dump(self) -> dict[str, Any]:
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -23,7 +24,7 @@
     from geraniumbend.settings import Settings
     from geraniumbend.timers import Subscription
 
-FOUND_PERIOD_S = 0.5
+FOUND_PERIOD_S = 0.1
 
 declare_event(
     910,
@@ -63,6 +64,7 @@
             self._replicas.append(replica)
             shards.append(OrderShard(replica, journal))
         self._orders = OrderService(shards, timers)
+        self._orders.block("it has not read yet how many order logs there are")
         self._service = ConfigurationService(
             self._log,
             self._store,
@@ -93,7 +95,7 @@
         self._service.start()
         self._orders.start()
         await self._api.start()
-        self._founding = self._timers.every(FOUND_PERIOD_S, self._found)
+        await self._found()
 
     async def stop(self) -> None:
         """Hand over leadership and close all listeners."""
@@ -157,17 +159,19 @@
         )
 
     async def _found(self) -> None:
+        """Record the cluster's id and compare settings with those it was founded with.
+
+        Runs again until the cluster has an id.
+        """
         shards = self._settings.control.order_shards
         if not self._store.cluster_id:
-            if not self._log.is_leader:
-                return
-            try:
-                await self._service.found(self._log.cluster_id, shards)
-            except UnavailableError:
-                return
-        if self._store.order_shards != shards:
+            self._founding = self._timers.after(FOUND_PERIOD_S, self._found)
+            if self._log.is_leader:
+                with contextlib.suppress(UnavailableError):
+                    await self._service.found(self._log.cluster_id, shards)
+        elif self._store.order_shards != shards:
             # Another number would send keys to logs that do not know them.
             self._orders.block("order_shards differs from the founded cluster")
             log_event(910, founded=self._store.order_shards, setting=shards)
-        if self._founding is not None:
-            self._founding.cancel()
+        else:
+            self._orders.block("")
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -22,9 +22,11 @@
     from geraniumbend.membership import Announcement
     from geraniumbend.model import BackendServer, Configuration
     from geraniumbend.settings import Settings
+    from geraniumbend.timers import Subscription
 
 LOADS_PERIOD_S = 0.25
 ORDERS_POLL_S = 0.02
+OPEN_PERIOD_S = 0.02
 
 
 class Gateway:
@@ -87,6 +89,7 @@
         self._loads: dict[str, float] = {}
         self._draining = False
         self._started = False
+        self._opening: Subscription | None = None
         self._membership.register(self._rpc)
         self._membership.subscribe_servers(self._update_servers)
         self._view.subscribe(self._update_configuration)
@@ -103,8 +106,7 @@
         await self._membership.start()
         self._follower.start()
         self._timers.every(LOADS_PERIOD_S, self._take_loads)
-        await self._callers.start()
-        self._started = True
+        await self._open()
 
     async def stop(self) -> None:
         """Shut down without cutting off a request.
@@ -113,6 +115,8 @@
         balancer chooses another gateway before connections are refused.
         """
         self._draining = True
+        if self._opening is not None:
+            self._opening.cancel()
         self._callers.begin_drain()
         await self._timers.sleep(self._settings.drain_delay_s)
         limit_s = self._settings.drain_limit_s
@@ -159,6 +163,17 @@
         """Return the metrics in the Prometheus text format."""
         return self._metrics.render()
 
+    async def _open(self) -> None:
+        """Listen for callers once there is a configuration to answer them by.
+
+        A gateway that listens earlier answers 404 because it knows no rule yet.
+        """
+        if not self._follower.confirmed:
+            self._opening = self._timers.after(OPEN_PERIOD_S, self._open)
+            return
+        await self._callers.start()
+        self._started = True
+
     def _create_observer(self) -> Any:
         metrics = self._metrics
         count = metrics.declare_counter(
--- a/tests/configuration/cluster.py
+++ b/tests/configuration/cluster.py
@@ -77,9 +77,11 @@
 
     async def call(self, address, method, body, timeout_s):
         self.calls.append((address, method))
+        if address not in self.silent:
+            answer = await asyncio.shield(
+                asyncio.ensure_future(self.handlers[address][method](body))
+            )
         if address in self.silent:
             await self.timers.sleep(timeout_s)
             raise UnavailableError("no answer")
-        return await asyncio.shield(
-            asyncio.ensure_future(self.handlers[address][method](body))
-        )
+        return answer
--- a/tests/roles/test_gateway.py
+++ b/tests/roles/test_gateway.py
@@ -39,7 +39,6 @@
         self.stopping = None
         await self.gateway.start()
         self.session = aiohttp.ClientSession()
-        self.callers = f"http://127.0.0.1:{self.gateway._callers.port}"
         self.announces = f"http://127.0.0.1:{self.gateway._announce.port}"
 
     async def asyncTearDown(self):
@@ -62,6 +61,9 @@
 
     async def prepare(self):
         self.gateway._view.install(CONFIGURATION)
+        self.gateway._follower.confirmed = True
+        await self.wait_for(self.gateway.is_ready)
+        self.callers = f"http://127.0.0.1:{self.gateway._callers.port}"
         await self.announce()
         await self.wait_for(lambda: self.gateway._table.available("g"))
 
@@ -70,8 +72,12 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
-    async def test_ready_only_with_a_configuration(self):
+    async def test_ready_only_with_a_configuration_that_a_majority_confirmed(self):
+        # A gateway that listened earlier answered 404, because it knew no rule yet.
+        self.gateway._view.install(CONFIGURATION)
+        await asyncio.sleep(0.1)
         self.assertEqual(await self.status(f"{self.announces}/readyz"), 503)
+        self.assertEqual(self.gateway._callers.port, 0)
         await self.prepare()
         self.assertEqual(await self.status(f"{self.announces}/readyz"), 200)
         self.assertEqual(await self.status(f"{self.callers}/0"), 200)
