--- a/tests/roles/test_gateway.py
+++ b/tests/roles/test_gateway.py
@@ -73,7 +73,8 @@
                 await asyncio.sleep(0.01)
 
     async def test_ready_only_with_a_configuration_that_a_majority_confirmed(self):
-        # A gateway that listened earlier answered 404, because it knew no rule yet.
+        # A revision that no majority has confirmed may be older than the accepted one,
+        # and a gateway that listened earlier answered 404 because it knew no rule yet.
         self.gateway._view.install(CONFIGURATION)
         await asyncio.sleep(0.1)
         self.assertEqual(await self.status(f"{self.announces}/readyz"), 503)
