--- a/src/geraniumbend/adapters/_announce_listener.py
+++ b/src/geraniumbend/adapters/_announce_listener.py
@@ -129,15 +129,15 @@
         if path.startswith(SERVERS_PATH):
             server_id = unquote(path[len(SERVERS_PATH) :])
             if not server_id or len(server_id) > 255:
-                raise RefusedError("server id is missing", status=404, kind="not-found")
+                raise RefusedError("server id is missing", status=404, kind="not_found")
             if method == "PUT":
                 return await self._announce(server_id, request)
             if method == "DELETE":
                 self._source.depart(server_id)
                 return _answer_json({})
-            raise RefusedError("use PUT or DELETE", status=405, kind="bad-method")
+            raise RefusedError("use PUT or DELETE", status=405, kind="bad_method")
         if method not in ("GET", "HEAD"):
-            raise RefusedError("use GET", status=405, kind="bad-method")
+            raise RefusedError("use GET", status=405, kind="bad_method")
         if path == "/readyz":
             ready = self._source.is_ready()
             return _answer_json({"ready": ready}, 200 if ready else 503)
@@ -150,7 +150,7 @@
                 body=self._source.render_metrics(),
                 headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"},
             )
-        raise RefusedError("there is nothing here", status=404, kind="not-found")
+        raise RefusedError("there is nothing here", status=404, kind="not_found")
 
     async def _announce(self, server_id: str, request: web.BaseRequest) -> web.Response:
         body = b""
@@ -165,7 +165,7 @@
                 f"announcement is invalid: {error}",
                 "see the page on announcing backend servers",
                 status=400,
-                kind="bad-announcement",
+                kind="bad_announcement",
             ) from error
         fields = {
             name: getattr(document, name)
--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -223,5 +223,5 @@
     status = 431 if isinstance(error.exc, LineTooLong) else error.status
     reason = error.message.strip().partition("\n")[0]
     return RefusedError(
-        f"request is malformed: {reason[:200]}", status=status, kind="bad-request"
+        f"request is malformed: {reason[:200]}", status=status, kind="bad_request"
     )
--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -296,4 +296,4 @@
 
 
 def _refuse(status: int, message: str) -> RefusedError:
-    return RefusedError(message, status=status, kind="bad-request")
+    return RefusedError(message, status=status, kind="bad_request")
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -257,10 +257,10 @@
 
 def _explain(context: RequestContext, error: UpstreamError) -> RefusedError:
     if error.timed_out:
-        return context.refuse(error, 504, "deadline-passed")
+        return context.refuse(error, 504, "deadline_passed")
     if context.unresolved:
-        return context.refuse(error, 502, "backend-failed")
-    return context.refuse(error, 503, "backend-unreachable", 1.0)
+        return context.refuse(error, 502, "backend_failed")
+    return context.refuse(error, 503, "backend_unreachable", 1.0)
 
 
 def _explain_shed(context: RequestContext, answer: Answer) -> RefusedError:
--- a/src/geraniumbend/proxying/_context.py
+++ b/src/geraniumbend/proxying/_context.py
@@ -111,7 +111,7 @@
             raise RefusedError(
                 f"an order's body exceeds {ORDER_BODY_BYTES} bytes",
                 status=413,
-                kind="body-too-large",
+                kind="body_too_large",
             )
         else:
             self.source = PrefixedBody(b"".join(parts), request)
@@ -145,7 +145,7 @@
         self,
         cause: GeraniumbendError,
         status: int = 502,
-        kind: str = "backend-failed",
+        kind: str = "backend_failed",
         retry_after_s: float | None = None,
     ) -> RefusedError:
         """Return a refusal that tells truthfully whether the request may have run."""
--- a/src/geraniumbend/proxying/_headers.py
+++ b/src/geraniumbend/proxying/_headers.py
@@ -105,7 +105,7 @@
             f"Request-Timeout {text[:40]!r} is no positive number of seconds",
             "send a decimal number of seconds",
             status=400,
-            kind="bad-request",
+            kind="bad_request",
         )
     return min(seconds, MAX_DEADLINE_S)
 
--- a/src/geraniumbend/proxying/_order_flow.py
+++ b/src/geraniumbend/proxying/_order_flow.py
@@ -6,8 +6,7 @@
 import msgspec
 import xxhash
 
-from geraniumbend.errors import RefusedError, UnavailableError
-from geraniumbend.logs import declare_event, log_event
+from geraniumbend.errors import RefusedError
 from geraniumbend.proxying._ports import UpstreamError
 from geraniumbend.proxying._relay import list_answer_lines
 
@@ -22,17 +21,9 @@
     Collect = Callable[[RequestContext, Attempt], Awaitable["StoredAnswer"]]
     Fetch = Callable[[RequestContext, Collect], Awaitable["StoredAnswer"]]
 
-STORED_BYTES = 256 * 1024
 ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
 MAX_KEY_CHARACTERS = 255
 
-declare_event(
-    220,
-    "order_not_recorded",
-    "error",
-    "The outcome of an order could not be stored; a retry of it is answered with 409.",
-)
-
 
 class StoredAnswer(NamedTuple):
     """Answer of an order as the journal keeps it.
@@ -127,7 +118,7 @@
                 f"an order needs the header {order.key_header}",
                 "send a new unique key with each order and repeat it with each retry",
                 status=400,
-                kind="order-key-missing",
+                kind="order_key_missing",
             )
         claim = await self._claim(context, key, caller)
         if claim.state == "completed":
@@ -147,55 +138,50 @@
     async def _claim(self, context: RequestContext, key: str, caller: str) -> Any:
         request = context.request
         if self._orders is None:
-            raise RefusedError("orders are not available", kind="orders-unavailable")
+            raise RefusedError("orders are not available", kind="orders_unavailable")
         digest = xxhash.xxh3_128(
             f"{request.method} {request.target}\n".encode("utf-8", "surrogateescape")
         )
         digest.update(context.body)
-        try:
-            claim = await self._orders.claim(
-                key,
-                xxhash.xxh3_128_hexdigest(caller.encode("utf-8", "surrogateescape")),
-                digest.hexdigest(),
-                self._node,
-                context.deadline_s - self._timers.now(),
-            )
-        except UnavailableError as error:
-            raise RefusedError(
-                f"the order journal is not available: {error.message}",
-                "retry with the same key",
-                kind="orders-unavailable",
-                retry_after_s=1.0,
-            ) from error
+        claim = await self._orders.claim(
+            key,
+            xxhash.xxh3_128_digest(caller.encode("utf-8", "surrogateescape")),
+            digest.digest(),
+            self._node,
+            context.deadline_s - self._timers.now(),
+        )
+        if claim.state == "granted" or (
+            claim.state == "completed" and claim.answer is not None
+        ):
+            return claim
         if claim.state == "mismatch":
             raise RefusedError(
                 "the key was used for another order or by another caller",
                 "use a new key",
                 status=422,
-                kind="order-key-reused",
+                kind="order_key_reused",
             )
-        if claim.state not in ("granted", "completed"):
-            raise RefusedError(
-                "an earlier request with this key may have run",
-                "ask the backend application for the order's state",
-                run="unknown",
-                status=409,
-                kind="order-unknown",
-            )
-        return claim
+        raise RefusedError(
+            f"an earlier request with this key may have run: {claim.state}",
+            "ask the backend application for the order's state",
+            run="unknown",
+            status=409,
+            kind="order_unknown",
+        )
 
     async def _run(
         self, context: RequestContext, claim: Any, fetch: Fetch
     ) -> StoredAnswer:
+        assert self._orders is not None
         try:
             stored = await fetch(context, self._collect)
         except BaseException:
-            if not context.unresolved:
-                await self._record(self._release, claim, b"")
+            if context.unresolved:
+                await self._orders.abandon(claim)
+            else:
+                await self._orders.release(claim)
             raise
-        if len(stored.body) <= STORED_BYTES:
-            encoded = msgspec.msgpack.encode(stored)
-            await self._record(self._complete, claim, encoded)
+        await self._orders.complete(claim, msgspec.msgpack.encode(stored))
         return stored
 
     async def _collect(self, context: RequestContext, attempt: Attempt) -> StoredAnswer:
@@ -227,22 +213,6 @@
         request.finish_answer(stored.body)
         return stored.status
 
-    async def _record(
-        self, record: Callable[[Any, bytes], Awaitable[None]], claim: Any, data: bytes
-    ) -> None:
-        try:
-            await record(claim, data)
-        except UnavailableError as error:
-            log_event(220, error=str(error), outcome=record.__name__)
-
-    async def _complete(self, claim: Any, data: bytes) -> None:
-        assert self._orders is not None
-        await self._orders.complete(claim, data)
-
-    async def _release(self, claim: Any, data: bytes) -> None:
-        assert self._orders is not None
-        await self._orders.release(claim)
-
     def _forget(self, task: asyncio.Task[StoredAnswer]) -> None:
         self._running.discard(task)
         if not task.cancelled():
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -9,6 +9,7 @@
 
     from geraniumbend.admission import AdmissionRequest
     from geraniumbend.model import BackendServer, Configuration
+    from geraniumbend.orders import Claim
     from geraniumbend.routing import Outcome, ServerView
 
     RawHeaders = Sequence[tuple[bytes, bytes]]
@@ -271,30 +272,28 @@
         ...
 
 
-class ClaimPort(Protocol):
-    """Claim of an order's key."""
-
-    state: str
-
-
 class OrdersPort(Protocol):
     """Journal of orders."""
 
     async def claim(
         self,
         key: str,
-        caller_digest: str,
-        request_digest: str,
+        caller_digest: bytes,
+        request_digest: bytes,
         owner: str,
         deadline_s: float,
-    ) -> ClaimPort:
-        """Claim a key."""
+    ) -> Claim:
+        """Claim a key; raises RefusedError when no majority answers."""
+        ...
+
+    async def complete(self, claim: Claim, answer: bytes) -> bool:
+        """Record the answer of an order that has run."""
         ...
 
-    async def complete(self, claim: ClaimPort, answer: bytes) -> None:
-        """Store the answer of a claimed order."""
+    async def release(self, claim: Claim) -> bool:
+        """Record that an order has not run."""
         ...
 
-    async def release(self, claim: ClaimPort) -> None:
-        """Record that a claimed order was not run."""
+    async def abandon(self, claim: Claim) -> bool:
+        """Record that it is unknown whether an order has run."""
         ...
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -178,7 +178,7 @@
                 return
             cause = RefusedError("the deadline passed")
             raise self._refuse(
-                context, context.refuse(cause, 504, "deadline-passed")
+                context, context.refuse(cause, 504, "deadline_passed")
             ) from None
         except UpstreamError as error:
             if request.answer_started:
@@ -210,7 +210,7 @@
                 "no rule matches the request",
                 "check path, method and host",
                 status=404,
-                kind="no-rule",
+                kind="no_rule",
             )
         return rule
 
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -15,6 +15,7 @@
 from geraniumbend.membership import Membership, Shares
 from geraniumbend.metrics import MetricSet
 from geraniumbend.model import Configuration
+from geraniumbend.orders import OrderClient
 from geraniumbend.proxying import Proxy, ProxyParts
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.retries import RetryBudget
@@ -72,6 +73,7 @@
             settings, self._membership, self._shares, timers
         )
         self._quarantine = Quarantine.from_config(settings, self._membership, timers)
+        self._orders = OrderClient.from_config(settings, self._clients, timers)
         self._metrics = MetricSet()
         parts = ProxyParts(
             self._view,
@@ -80,7 +82,7 @@
             self._budget,
             self._quarantine,
             self._upstream,
-            None,
+            self._orders if gateway.control else None,
             timers,
         )
         self._proxy = Proxy.from_config(settings, parts, self._create_observer())
@@ -123,6 +125,7 @@
         await self._callers.stop(limit_s)
         while self._proxy.orders_in_flight() and self._timers.now() < end_s:
             await self._timers.sleep(ORDERS_POLL_S)
+        await self._orders.stop()
         await self._follower.stop()
         await self._membership.stop()
         await self._announce.stop()
