Probe the load of backend servers

Change: LoadProbe sends GET /load exactly once over the pools, within the budget of the ProbeScheduler. A test found that deeply nested JSON raised RecursionError.

--- /dev/null
+++ b/src/geraniumbend/adapters/_http_probes.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from geraniumbend.proxying import UpstreamError, UpstreamRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from geraniumbend.model import BackendServer
+    from geraniumbend.proxying import Upstream
+    from geraniumbend.timers import TimerService
+
+PROBE_TIMEOUT_S = 1.0
+BODY_LIMIT_BYTES = 4096
+HEAD = b"GET /load HTTP/1.1\r\nHost: %b\r\n\r\n"
+
+
+class LoadProbe:
+    """Asks backend servers for their load.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        Sends requests.
+    timers : TimerService
+        Clock.
+    """
+
+    def __init__(self, upstream: Upstream, timers: TimerService) -> None:
+        self._upstream = upstream
+        self._timers = timers
+
+    async def send(self, server: BackendServer) -> Mapping[str, float] | None:
+        """Send ``GET /load`` once.
+
+        Parameters
+        ----------
+        server : BackendServer
+            Server to ask.
+
+        Returns
+        -------
+        mapping of str to float or None
+            Members of the JSON answer that are numbers; None without an answer.
+        """
+        request = UpstreamRequest(
+            method="GET",
+            head=HEAD % server.host.encode(),
+            body=b"",
+            source=None,
+            chunked=False,
+            # A probe that moved to another connection would be paid for twice.
+            safe=False,
+            deadline_s=self._timers.now() + PROBE_TIMEOUT_S,
+            silence_s=PROBE_TIMEOUT_S,
+        )
+        try:
+            answer = await self._upstream.send(server, request)
+        except UpstreamError:
+            return None
+        try:
+            body = b""
+            complete = False
+            while not complete and len(body) <= BODY_LIMIT_BYTES:
+                data, complete = answer.read_ready()
+                body += data if data or complete else await answer.read()
+        except UpstreamError:
+            return None
+        finally:
+            answer.close()
+        return _parse(body) if complete and answer.status == 200 else None
+
+
+def _parse(body: bytes) -> Mapping[str, float] | None:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(document, dict):
+        return None
+    return {
+        name: float(value)
+        for name, value in document.items()
+        if isinstance(value, int | float) and not isinstance(value, bool)
+    }
--- a/src/geraniumbend/adapters/http_upstream.py
+++ b/src/geraniumbend/adapters/http_upstream.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
+from geraniumbend.adapters._http_probes import LoadProbe
 from geraniumbend.adapters._http_upstream import HttpUpstream
 from geraniumbend.adapters._server_pool import ServerPool
 
-__all__ = ["HttpUpstream", "ServerPool"]
+__all__ = ["HttpUpstream", "LoadProbe", "ServerPool"]
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -6,7 +6,7 @@
 
 from geraniumbend.adapters.announce_listener import AnnounceListener
 from geraniumbend.adapters.http_listener import HttpListener, create_client_context
-from geraniumbend.adapters.http_upstream import HttpUpstream
+from geraniumbend.adapters.http_upstream import HttpUpstream, LoadProbe
 from geraniumbend.adapters.rpc import RpcClients, RpcServer
 from geraniumbend.admission import Admission
 from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
@@ -19,7 +19,13 @@
 from geraniumbend.proxying import Proxy, ProxyParts
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.retries import RetryBudget
-from geraniumbend.routing import LoadReport, Router, ServerTable, parse_selector
+from geraniumbend.routing import (
+    LoadReport,
+    ProbeScheduler,
+    Router,
+    ServerTable,
+    parse_selector,
+)
 from geraniumbend.timers import LoopTimers
 
 if TYPE_CHECKING:
@@ -69,6 +75,9 @@
             create_client_context(gateway.backend_tls) if gateway.backend_tls else None,
             self._membership.report_failed,
         )
+        self._probes = ProbeScheduler.from_config(
+            settings, self._table, self._shares, timers
+        )
         self._budget = RetryBudget.from_config(
             settings, self._membership, self._shares, timers
         )
@@ -108,6 +117,8 @@
         self._follower.start()
         self._timers.every(POLL_PERIOD_S, self._poll)
         self._timers.every(LOADS_PERIOD_S, self._take_loads)
+        probe = LoadProbe(self._upstream, self._timers)
+        self._probes.start(lambda view: probe.send(view.server))
         await self._callers.start()
         self._started = True
 
@@ -125,6 +136,7 @@
         await self._callers.stop(limit_s)
         while self._proxy.orders_in_flight() and self._timers.now() < end_s:
             await self._timers.sleep(ORDERS_POLL_S)
+        self._probes.stop()
         await self._orders.stop()
         await self._follower.stop()
         await self._membership.stop()
@@ -154,6 +166,7 @@
             "configuration": self._follower.dump(),
             "requests_in_flight": self._callers.in_flight(),
             "orders_in_flight": self._proxy.orders_in_flight(),
+            "probes_sent": self._probes.sent,
             "gateway_share": self._shares.gateway_share(),
             "admission": self._admission.dump(),
             "quarantine": [entry._asdict() for entry in self._quarantine.entries()],
--- /dev/null
+++ b/tests/adapters/test_load_probe.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import unittest
+
+from geraniumbend.adapters.http_upstream import HttpUpstream, LoadProbe
+from geraniumbend.timers import LoopTimers
+from tests.adapters._backend import ScriptedBackend, reply, send_raw
+
+
+class LoadProbeTest(unittest.IsolatedAsyncioTestCase):
+    async def probe(self, script, sent=1):
+        timers = LoopTimers()
+        upstream = HttpUpstream(timers, lambda: 1.0)
+        async with ScriptedBackend(script) as backend:
+            load = await LoadProbe(upstream, timers).send(backend.describe())
+            self.assertEqual(len(backend.received), sent)
+            if backend.received:
+                self.assertTrue(backend.received[0].head.startswith(b"GET /load "))
+        await upstream.close()
+        return load
+
+    async def test_numbers_of_the_answer_are_returned(self):
+        text = (
+            b'{"in_flight": 3, "slots": 6, "latency_ms": 1.5, "name": "x", "a": true}'
+        )
+        load = await self.probe(reply(text))
+        self.assertEqual(load, {"in_flight": 3, "slots": 6, "latency_ms": 1.5})
+
+    async def test_bad_answers_count_as_none_and_are_not_asked_for_again(self):
+        async def drop(received, reader, writer):
+            return False
+
+        failed = b"HTTP/1.1 500 F\r\nContent-Length: 2\r\n\r\n{}"
+        short = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\n{}"
+        for script in (
+            drop,
+            reply(b"[]"),
+            reply(b"{"),
+            reply(b"\xff"),
+            send_raw(failed),
+        ):
+            self.assertIsNone(await self.probe(script))
+
+        async def truncate(received, reader, writer):
+            writer.write(short)
+            return False
+
+        self.assertIsNone(await self.probe(truncate))
+        # Nested this deep, the parser raises RecursionError.
+        for size in (4000, 1_000_000):
+            self.assertIsNone(await self.probe(reply(b"[" * size)))
