--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -286,14 +286,14 @@
         """Claim a key; raises RefusedError when no majority answers."""
         ...
 
-    async def complete(self, claim: Claim, answer: bytes) -> bool:
+    async def complete(self, claim: Claim, answer: bytes) -> None:
         """Record the answer of an order that has run."""
         ...
 
-    async def release(self, claim: Claim) -> bool:
+    async def release(self, claim: Claim) -> None:
         """Record that an order has not run."""
         ...
 
-    async def abandon(self, claim: Claim) -> bool:
+    async def abandon(self, claim: Claim) -> None:
         """Record that it is unknown whether an order has run."""
         ...
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -2,19 +2,15 @@
 
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from geraniumbend.adapters.announce_listener import AnnounceListener
 from geraniumbend.adapters.http_listener import HttpListener, create_client_context
 from geraniumbend.adapters.http_upstream import HttpUpstream, LoadProbe
 from geraniumbend.adapters.rpc import RpcClients, RpcServer
 from geraniumbend.admission import Admission
 from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
-from geraniumbend.errors import GeraniumbendError
 from geraniumbend.keys import KeyRing
 from geraniumbend.membership import Membership, Shares
 from geraniumbend.metrics import MetricSet
-from geraniumbend.model import Configuration
 from geraniumbend.orders import OrderClient
 from geraniumbend.proxying import Proxy, ProxyParts
 from geraniumbend.quarantine import Quarantine
@@ -26,16 +22,14 @@
     ServerTable,
     parse_selector,
 )
-from geraniumbend.timers import LoopTimers
+from geraniumbend.timers import LoopTimers, Subscription
 
 if TYPE_CHECKING:
     from geraniumbend.membership import Announcement
-    from geraniumbend.model import BackendServer
+    from geraniumbend.model import BackendServer, Configuration
     from geraniumbend.settings import Settings
 
 LOADS_PERIOD_S = 0.25
-POLL_PERIOD_S = 0.2
-POLL_TIMEOUT_S = 1.0
 ORDERS_POLL_S = 0.02
 
 
@@ -99,6 +93,7 @@
         self._announce = AnnounceListener(gateway.announce, self)
         self._loads: dict[str, float] = {}
         self._draining = False
+        self._taking = Subscription()
         self._started = False
         self._membership.register(self._rpc)
         self._membership.subscribe_servers(self._update_servers)
@@ -115,8 +110,7 @@
         await self._announce.start()
         await self._membership.start()
         self._follower.start()
-        self._timers.every(POLL_PERIOD_S, self._poll)
-        self._timers.every(LOADS_PERIOD_S, self._take_loads)
+        self._taking = self._timers.every(LOADS_PERIOD_S, self._take_loads)
         probe = LoadProbe(self._upstream, self._timers)
         self._probes.start(lambda view: probe.send(view.server))
         await self._callers.start()
@@ -136,6 +130,7 @@
         await self._callers.stop(limit_s)
         while self._proxy.orders_in_flight() and self._timers.now() < end_s:
             await self._timers.sleep(ORDERS_POLL_S)
+        self._taking.cancel()
         self._probes.stop()
         await self._orders.stop()
         await self._follower.stop()
@@ -155,8 +150,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers may send requests here."""
-        confirmed = self._follower.confirmed or self._view.current.revision > 0
-        return self._started and not self._draining and confirmed
+        return self._started and not self._draining and self._follower.confirmed
 
     def dump(self) -> dict[str, Any]:
         """Return the state of all parts."""
@@ -230,17 +224,3 @@
             if load.received_at > view.report_at:
                 report = LoadReport(float(load.in_flight), load.slots)
                 view.observe_report(report, load.received_at)
-
-    async def _poll(self) -> None:
-        # Control processes that offer no subscription yet are asked for the whole.
-        if self._follower.confirmed:
-            return
-        for address in self._settings.control:
-            try:
-                body = await self._clients.call(
-                    address, "configuration.get", b"", POLL_TIMEOUT_S
-                )
-            except GeraniumbendError:
-                continue
-            self._view.install(msgspec.json.decode(body, type=Configuration))
-            return
--- a/tests/proxying/test_orders.py
+++ b/tests/proxying/test_orders.py
@@ -40,17 +40,14 @@
     async def complete(self, claim, answer):
         self.entries[claim.key][1:] = ["completed", answer]
         self.ends.append("completed")
-        return True
 
     async def release(self, claim):
         del self.entries[claim.key]
         self.ends.append("released")
-        return True
 
     async def abandon(self, claim):
         self.entries[claim.key][1] = "unknown"
         self.ends.append("unknown")
-        return True
 
 
 async def drop(received, reader, writer):
