--- a/src/geraniumbend/adapters/_rpc_client.py
+++ b/src/geraniumbend/adapters/_rpc_client.py
@@ -103,9 +103,10 @@
         """
         used: list[tuple[_Connection, int]] = []
         try:
-            response = await asyncio.wait_for(
-                self._exchange(method, body, used), timeout_s
-            )
+            # asyncio.wait_for drops a cancellation that meets a finished call, and
+            # the process then waits for this task for ever when it stops.
+            async with asyncio.timeout(timeout_s):
+                response = await self._exchange(method, body, used)
         except TimeoutError as error:
             for connection, received in used:
                 if connection.received == received and timeout_s >= SILENCE_S:
@@ -169,13 +170,14 @@
             if self._connection is not None and not self._connection.retired:
                 return self._connection
             host, _, port = self.address.rpartition(":")
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(host, int(port), limit=1024 * 1024),
-                CONNECT_TIMEOUT_S,
-            )
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), limit=1024 * 1024
+                )
             channel = FrameChannel(reader, writer, self._keys, is_client=True)
             try:
-                await asyncio.wait_for(channel.open(), CONNECT_TIMEOUT_S)
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await channel.open()
             except BaseException:
                 channel.close()
                 raise
--- a/src/geraniumbend/adapters/_rpc_server.py
+++ b/src/geraniumbend/adapters/_rpc_server.py
@@ -113,7 +113,8 @@
         self._connections.add(task)
         channel = FrameChannel(reader, writer, self._keys, is_client=False)
         try:
-            await asyncio.wait_for(channel.open(), HELLO_TIMEOUT_S)
+            async with asyncio.timeout(HELLO_TIMEOUT_S):
+                await channel.open()
             await self._serve(channel)
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             pass
