--- a/src/geraniumbend/configuration/__init__.py
+++ b/src/geraniumbend/configuration/__init__.py
@@ -6,6 +6,7 @@
 from geraniumbend.configuration._files import (
     FileContent,
     describe_diff,
+    parse_document,
     parse_file,
     plan_operations,
     write_file,
@@ -22,6 +23,7 @@
     apply_operations,
     describe_configuration,
     describe_operation,
+    operation_kinds,
     parse_configuration,
     parse_operation,
 )
@@ -33,6 +35,7 @@
 from geraniumbend.configuration._store import ConfigurationStore, HistoryEntry
 from geraniumbend.configuration._validation import validate_operations
 from geraniumbend.configuration._view import ConfigurationView
+from geraniumbend.configuration._waiting import Signal
 
 __all__ = [
     "ChangeConflictError",
@@ -50,13 +53,16 @@
     "SetGroup",
     "SetLabels",
     "SetRule",
+    "Signal",
     "apply_operations",
     "describe",
     "describe_configuration",
     "describe_diff",
     "describe_operation",
+    "operation_kinds",
     "parse",
     "parse_configuration",
+    "parse_document",
     "parse_file",
     "parse_operation",
     "plan_operations",
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from geraniumbend.keys import KeyRing
     from geraniumbend.model import BackendServer
     from geraniumbend.ports import DatagramPort, RpcCaller
     from geraniumbend.settings import Settings
@@ -141,6 +142,7 @@
         self._sync = AntiEntropy(
             self.name,
             self._table,
+            self._gossip,
             self._budget,
             clients,
             self._merge,
@@ -166,6 +168,7 @@
         clients: RpcCaller,
         timers: TimerService,
         port: DatagramPort | None = None,
+        keys: KeyRing | None = None,
     ) -> Membership:
         """Build the membership of a process.
 
@@ -181,6 +184,9 @@
             Clock and periods.
         port : DatagramPort or None, default=None
             Datagrams; a UDP socket on the peer listener's port when None.
+        keys : KeyRing or None, default=None
+            Keys of the UDP socket; the process shares one ring, so that a rotation
+            reaches all its sockets. A ring of the settings' keys when None.
 
         Returns
         -------
@@ -193,9 +199,9 @@
         boot = read_boot_time()
         node, peer = settings.node, settings.peer
         if port is None:
-            keys = KeyRing.from_config(settings.keys)
+            ring = keys or KeyRing.from_config(settings.keys)
             listen = peer.listen
-            port = Datagrams(node.name, listen.host, listen.port, keys, boot)
+            port = Datagrams(node.name, listen.host, listen.port, ring, boot)
         options = MembershipOptions(
             name=node.name,
             role=role,
@@ -261,7 +267,11 @@
         await self._port.stop()
 
     def members(self) -> list[Member]:
-        """Return all known processes, this one included, by name."""
+        """Return the live processes, this one included, by name."""
+        return [member for member in self.known_members() if member.live]
+
+    def known_members(self) -> list[Member]:
+        """Return all known processes, also those that died or left, by name."""
         revisions = self._published.records(REVISION)
         found = []
         for member in sorted(self._members.members.values()):
@@ -356,7 +366,7 @@
     def dump(self) -> dict[str, Any]:
         """Return the state for `geraniumbend state`."""
         return {
-            "members": [member._asdict() for member in self.members()],
+            "members": [member._asdict() for member in self.known_members()],
             "servers": [s._asdict() for s in self.servers().values()],
             "server_counts": self._view.counts(),
             "leases_held": self._servers.held(),
