--- a/src/geraniumbend/admission/_demand.py
+++ b/src/geraniumbend/admission/_demand.py
@@ -47,29 +47,29 @@
         while self._bins[0].number <= number - LONG_BINS:
             self._bins.popleft()
 
-    def rate(self, now: float) -> float:
-        """Return offered work in seconds per second."""
+    def rate(self, now: float) -> tuple[float, float]:
+        """Return offered work and its standard deviation, in seconds per second."""
         number = int(now / BIN_S)
         complete = [
             entry for entry in self._bins if number - LONG_BINS <= entry.number < number
         ]
         if not complete:
-            return 0.0
+            return 0.0, 0.0
         age = max(1.0, number - self._start)
         long = sum(entry.work_s for entry in complete) / min(LONG_BINS, age)
         recent = [entry for entry in complete if entry.number >= number - SHORT_BINS]
         bins = min(SHORT_BINS, age)
         short = sum(entry.work_s for entry in recent) / bins
         deviation = math.sqrt(sum(entry.squares for entry in recent)) / bins
-        expected = math.sqrt(
-            sum(entry.squares for entry in complete) / min(LONG_BINS, age) / bins
-        )
+        bins_long = min(LONG_BINS, age)
+        squares = sum(entry.squares for entry in complete)
+        expected = math.sqrt(squares / bins_long / bins)
         if abs(short - long) <= CHANGE_DEVIATIONS * max(deviation, expected):
-            return long / BIN_S
+            return long / BIN_S, math.sqrt(squares) / bins_long / BIN_S
         # Bins from before the change say nothing about the present demand.
         self._start = number - bins
         self._bins = deque(recent)
-        return short / BIN_S
+        return short / BIN_S, deviation / BIN_S
 
 
 class _Caller:
--- a/src/geraniumbend/admission/_levels.py
+++ b/src/geraniumbend/admission/_levels.py
@@ -4,10 +4,11 @@
 
 from geraniumbend.admission._demand import DemandWindow
 
-# Share of the slots that the level aims to keep busy. It is above 1 because opens
-# near the level are refused by some gateway, whose estimate of demand is a little
-# higher; their remaining requests rank last in the queues.
-TARGET = 1.05
+# Standard deviations that are taken off the estimate of demand, and how many more for
+# an estimate from few requests. A gateway that sees ten long requests in the window
+# would otherwise refuse some by chance; at a crest there are hundreds.
+SURE_DEVIATIONS = 1.0
+FEW_REQUESTS = 20.0
 PERIOD_S = 0.1
 # Queue wait as a share of the deadline at which the level is lowered or may be
 # raised. Between the two, the backlog from the onset of a crest passes.
@@ -70,13 +71,16 @@
             Ranks above it are refused; above 1 when demand is below capacity.
         """
         self._updated = now
-        offered = self.demand.rate(now)
+        offered, deviation = self.demand.rate(now)
         if offered <= 0:
             self.value = math.inf
             self.correction = 1.0
             return self.value
         self._correct(utilization)
-        self.value = slots * TARGET * self.correction / offered
+        noise = deviation / offered
+        sure = 1.0 - (SURE_DEVIATIONS + FEW_REQUESTS * noise**2) * noise
+        sure = offered * max(0.1, sure)
+        self.value = slots * self.correction / sure
         busy = utilization if utilization > 0 else running / max(slots, 1.0)
         if busy < IDLE_UTILIZATION:
             self.value = max(1.0, self.value)
--- a/src/geraniumbend/routing/_lanes.py
+++ b/src/geraniumbend/routing/_lanes.py
@@ -11,6 +11,8 @@
     from geraniumbend.timers import TimerService
 
 PERIOD_S = 0.2
+STEPS = (1 / 8, 1 / 4, 1 / 2)
+SHRINK_MARGIN = 1.3
 
 
 class Lanes(NamedTuple):
@@ -31,8 +33,8 @@
 class LaneTable:
     """Long lanes of all groups.
 
-    The lane is a prefix of the rendezvous order, so gateways whose learned shares
-    differ a little agree on all but the last server of the lane.
+    The lane is a prefix of the rendezvous order in steps of its size, so gateways
+    whose learned shares differ a little use the same servers.
 
     Parameters
     ----------
@@ -72,9 +74,9 @@
             return 0
         size = size_lane(share, count)
         before = self._sizes.get(group, 0)
-        # The lane shrinks only when the share is half a server below the boundary;
-        # a share that lies on the boundary would move a server to and fro.
-        if size == before - 1 and size_lane(share + 0.5 / count, count) >= before:
+        # The lane shrinks only when the share is well below the boundary; a share that
+        # lies on the boundary would move servers to and fro.
+        if size < before and size_lane(SHRINK_MARGIN * share, count) >= before:
             size = min(before, count // 2)
         self._sizes[group] = size
         return size
@@ -93,6 +95,10 @@
     Returns
     -------
     int
-        At least 1 and at most half of the group.
+        One server, or an eighth, a quarter or half of the group. Gateways that see
+        few long requests learn different shares, and steps keep their lanes equal.
     """
-    return max(1, min(count // 2, math.ceil(share * count)))
+    for part in STEPS:
+        if share <= part:
+            return max(1, math.ceil(part * count)) if part < 0.5 else count // 2
+    return count // 2
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -174,6 +174,8 @@
         """
         now = self._timers.now()
         view.finish(request_class, outcome, now)
+        if outcome.status == 0 and not outcome.failed:
+            return
         failed = outcome.failed or outcome.status >= 500
         if not failed:
             queueing = view.measure_queueing(now)
--- a/src/geraniumbend/routing/_views.py
+++ b/src/geraniumbend/routing/_views.py
@@ -35,7 +35,8 @@
     Parameters
     ----------
     status : int, default=0
-        HTTP status; 0 when there was no response.
+        HTTP status; 0 when there was no response. Without `failed`, 0 stands for a
+        request that was cancelled.
     latency_s : float, default=0.0
         Time from sending to the end of the response, in seconds.
     head_latency_s : float, default=0.0
@@ -114,6 +115,12 @@
         """Count the end of a request and learn from its outcome."""
         self.in_flight = max(0, self.in_flight - 1)
         self._forget_start(request_class, now - outcome.latency_s)
+        if outcome.status == 0 and not outcome.failed:
+            # Cancelled by the caller or by a hedge: the latency is a lower bound only.
+            known = self._latencies.get(request_class)
+            if known is not None and outcome.latency_s > known.mean_s:
+                self._learn_latency(request_class, outcome.latency_s, now)
+            return
         failed = outcome.failed or outcome.status >= 500
         rate = self.error_rate(now)
         self._error_rate = rate + ERROR_WEIGHT * (failed - rate)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -70,6 +70,17 @@
         used = self.run_requests(40, lambda _: GOOD, gap_s=0.001)
         self.assertEqual(used["s1"], 0)
 
+    def test_cancelled_requests_do_not_make_a_slow_server_look_fast(self):
+        self.build()
+        slow = Outcome(status=200, latency_s=1.0)
+        self.run_requests(300, lambda name: slow if name == "s1" else GOOD)
+        cancelled = Outcome(latency_s=0.05)
+        for _ in range(30):
+            self.router.start_request(self.table.view("s1"), "c")
+            self.router.finish_request(self.table.view("s1"), "c", cancelled)
+        used = self.run_requests(100, lambda _: GOOD, gap_s=0.001)
+        self.assertLessEqual(used["s1"], 5)
+
     def test_false_report_of_no_load_does_not_hide_own_requests(self):
         self.build(count=2)
         for _ in range(6):
