Include the data path in the recovery experiment

Cause: control processes keep their state in the log now, so killing them can be measured beside requests through gateways. Change: three gateways serve while the leader and then all control processes are killed; records use a seeded checksum, which saves a copy per record at start; the result uses the keys of the goals.

--- /dev/null
+++ b/bench/_recovery_data_path.py
@@ -0,0 +1,112 @@
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+
+from bench._backend_server import BackendServerStandIn
+from bench._cluster import Cluster
+from bench._config import Observer
+from bench._operator import Accepted, Operator
+
+GATEWAYS = 3
+STEADY_S = 1.0
+LEADER_AWAY_S = 2.5
+CONTROLS_AWAY_S = 2.0
+
+
+class DataPathTrial:
+    """Requests through gateways while control processes are killed."""
+
+    def __init__(self) -> None:
+        self._cluster = Cluster(gateways=GATEWAYS, controls=3)
+        self._operator = Operator(self._cluster.api.split(","))
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=3))
+        self._servers = [
+            BackendServerStandIn(
+                f"a-{number}", {"app": "a"}, 50, self._cluster.announces, seed=number
+            )
+            for number in range(2)
+        ]
+        self._observers = [Observer(address) for address in self._cluster.callers]
+        self._accepted: list[Accepted] = []
+        self._tasks: list[asyncio.Task[Any]] = []
+
+    async def run(self) -> dict[str, Any]:
+        """Return errors of the data path, failover gap and lost changes."""
+        try:
+            await self._start()
+            gap_s = await self._kill_leader()
+            lost = await self._kill_all()
+        finally:
+            await self._stop()
+        return {
+            "data_path_requests": sum(o.requests for o in self._observers),
+            "data_path_errors": sum(o.errors for o in self._observers),
+            "apply_gap_s": round(gap_s, 2),
+            "applied_changes": len(self._accepted),
+            "lost": lost,
+        }
+
+    async def _start(self) -> None:
+        await self._cluster.start()
+        for server in self._servers:
+            await server.start()
+        group = {"name": "a", "selector": "app=a"}
+        await self._operator.apply([{"operation": "set_group", "group": group}])
+        await self._change()
+        await self._cluster.wait_until_ready()
+        # Backend servers are known on all gateways after one round of announcements.
+        await asyncio.sleep(3 * STEADY_S)
+        for observer in self._observers:
+            self._tasks.append(asyncio.create_task(observer.run(self._session)))
+        await asyncio.sleep(STEADY_S)
+
+    async def _change(self) -> None:
+        rule = {
+            "name": "x",
+            "group": "a",
+            "deadline_s": 2.0 + len(self._accepted) / 1000,
+        }
+        operation = {"operation": "set_rule", "rule": rule}
+        self._accepted.append(await self._operator.apply([operation]))
+
+    async def _kill_leader(self) -> float:
+        leader = await self._operator.find_leader()
+        loop = asyncio.get_running_loop()
+        last_s = loop.time()
+        killed_at_s = last_s + STEADY_S
+        killing: asyncio.Task[None] | None = None
+        longest = 0.0
+        while loop.time() < killed_at_s + LEADER_AWAY_S:
+            if killing is None and loop.time() >= killed_at_s:
+                killing = asyncio.create_task(self._cluster.controls[leader].kill())
+            await self._change()
+            longest = max(longest, loop.time() - last_s)
+            last_s = loop.time()
+        assert killing is not None
+        await killing
+        await self._cluster.controls[leader].start()
+        await asyncio.sleep(STEADY_S)
+        return longest
+
+    async def _kill_all(self) -> int:
+        await asyncio.gather(*(process.kill() for process in self._cluster.controls))
+        await asyncio.sleep(CONTROLS_AWAY_S)
+        await asyncio.gather(*(process.start() for process in self._cluster.controls))
+        answer = await self._operator.get("/v1/history?limit=1000")
+        known = {(e["revision"], e["change_id"]) for e in answer["history"]}
+        lost = sum((a.revision, a.change_id) not in known for a in self._accepted)
+        await self._change()
+        return lost
+
+    async def _stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._session.close()
+        await self._operator.close()
+        await self._cluster.stop()
+        for server in self._servers:
+            await server.stop()
--- a/src/geraniumbend/replication/_records.py
+++ b/src/geraniumbend/replication/_records.py
@@ -14,7 +14,7 @@
 BACKUP_MAGIC = b"GBBK"
 # Magic, format version, two reserved bytes.
 HEADER = struct.Struct("!4sHH")
-# Length of the payload, xxh64 over length and payload.
+# Length of the payload, xxh64 of the payload seeded with the length.
 RECORD = struct.Struct("!IQ")
 SECTOR_BYTES = 512
 
@@ -66,10 +66,8 @@
 
 def pack_record(payload: bytes) -> bytes:
     """Return a payload with its length and checksum in front."""
-    length = len(payload).to_bytes(4, "big")
-    return b"".join(
-        (length, xxhash.xxh64_digest(length + payload), payload),
-    )
+    length = len(payload)
+    return RECORD.pack(length, xxhash.xxh64_intdigest(payload, length)) + payload
 
 
 def pack_file(magic: bytes, *payloads: bytes) -> bytes:
@@ -142,15 +140,12 @@
 def _read_record(data: bytes, position: int) -> bytes | None:
     if position + RECORD.size > len(data):
         return None
-    length, _ = RECORD.unpack_from(data, position)
+    length, checksum = RECORD.unpack_from(data, position)
     start = position + RECORD.size
     if length == 0 or start + length > len(data):
         return None
     payload = data[start : start + length]
-    checked = data[position : position + 4] + payload
-    if xxhash.xxh64_digest(checked) != data[position + 4 : start]:
-        return None
-    return payload
+    return payload if xxhash.xxh64_intdigest(payload, length) == checksum else None
 
 
 def _is_torn(data: bytes, position: int) -> bool:
