--- a/src/geraniumbend/_timers.py
+++ b/src/geraniumbend/_timers.py
@@ -89,7 +89,10 @@
         Subscription
             Handle that cancels the calls.
         """
-        return self._start(self._repeat(period_s, callback, jitter))
+        subscription = Subscription()
+        repeating = self._repeat(subscription, period_s, callback, jitter)
+        subscription._task = asyncio.ensure_future(repeating)
+        return subscription
 
     def after(self, delay_s: float, callback: Callback) -> Subscription:
         """Call back once after a delay.
@@ -106,15 +109,19 @@
         Subscription
             Handle that cancels the call.
         """
-        return self._start(self._once(delay_s, callback))
-
-    def _start(self, coroutine: Awaitable[None]) -> Subscription:
         subscription = Subscription()
-        subscription._task = asyncio.ensure_future(coroutine)
+        subscription._task = asyncio.ensure_future(self._once(delay_s, callback))
         return subscription
 
-    async def _repeat(self, period_s: float, callback: Callback, jitter: float) -> None:
-        while True:
+    async def _repeat(
+        self,
+        subscription: Subscription,
+        period_s: float,
+        callback: Callback,
+        jitter: float,
+    ) -> None:
+        # A callback may drop the cancellation that meets it.
+        while not subscription.cancelled:
             spread = period_s * jitter
             await self.sleep(period_s + random.uniform(-spread, spread))
             await _call(callback)
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -4,7 +4,7 @@
 
 from geraniumbend.adapters.announce_listener import AnnounceListener
 from geraniumbend.adapters.http_listener import HttpListener, create_client_context
-from geraniumbend.adapters.http_upstream import HttpUpstream
+from geraniumbend.adapters.http_upstream import HttpUpstream, LoadProbe
 from geraniumbend.adapters.rpc import RpcClients, RpcServer
 from geraniumbend.admission import Admission
 from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
@@ -15,16 +15,24 @@
 from geraniumbend.proxying import Proxy, ProxyParts
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.retries import RetryBudget
-from geraniumbend.routing import LoadReport, Router, ServerTable, parse_selector
-from geraniumbend.timers import LoopTimers
+from geraniumbend.routing import (
+    LoadReport,
+    ProbeScheduler,
+    Router,
+    ServerTable,
+    parse_selector,
+)
+from geraniumbend.timers import LoopTimers, Subscription
 
 if TYPE_CHECKING:
     from geraniumbend.membership import Announcement
     from geraniumbend.model import BackendServer, Configuration
     from geraniumbend.settings import Settings
+    from geraniumbend.timers import Subscription
 
 LOADS_PERIOD_S = 0.25
 ORDERS_POLL_S = 0.02
+OPEN_PERIOD_S = 0.02
 
 
 class Gateway:
@@ -63,13 +71,14 @@
             create_client_context(gateway.backend_tls) if gateway.backend_tls else None,
             self._membership.report_failed,
         )
+        self._probes = ProbeScheduler.from_config(
+            settings, self._table, self._shares, timers
+        )
         self._budget = RetryBudget.from_config(
             settings, self._membership, self._shares, timers
         )
         self._quarantine = Quarantine.from_config(settings, self._membership, timers)
         self._orders = OrderClient.from_config(settings, self._clients, timers)
-        # The port describes claims by their state only, so the types do not match.
-        orders: Any = self._orders
         self._metrics = MetricSet()
         parts = ProxyParts(
             self._view,
@@ -78,7 +87,7 @@
             self._budget,
             self._quarantine,
             self._upstream,
-            orders,
+            self._orders if gateway.control else None,
             timers,
         )
         self._proxy = Proxy.from_config(settings, parts, self._create_observer())
@@ -86,7 +95,9 @@
         self._announce = AnnounceListener(gateway.announce, self)
         self._loads: dict[str, float] = {}
         self._draining = False
+        self._taking = Subscription()
         self._started = False
+        self._opening: Subscription | None = None
         self._membership.register(self._rpc)
         self._membership.subscribe_servers(self._update_servers)
         self._view.subscribe(self._update_configuration)
@@ -102,9 +113,10 @@
         await self._announce.start()
         await self._membership.start()
         self._follower.start()
-        self._timers.every(LOADS_PERIOD_S, self._take_loads)
-        await self._callers.start()
-        self._started = True
+        self._taking = self._timers.every(LOADS_PERIOD_S, self._take_loads)
+        probe = LoadProbe(self._upstream, self._timers)
+        self._probes.start(lambda view: probe.send(view.server))
+        await self._open()
 
     async def stop(self) -> None:
         """Shut down without cutting off a request.
@@ -113,6 +125,8 @@
         balancer chooses another gateway before connections are refused.
         """
         self._draining = True
+        if self._opening is not None:
+            self._opening.cancel()
         self._callers.begin_drain()
         await self._timers.sleep(self._settings.drain_delay_s)
         limit_s = self._settings.drain_limit_s
@@ -120,8 +134,10 @@
         await self._callers.stop(limit_s)
         while self._proxy.orders_in_flight() and self._timers.now() < end_s:
             await self._timers.sleep(ORDERS_POLL_S)
-        await self._follower.stop()
+        self._taking.cancel()
+        self._probes.stop()
         await self._orders.stop()
+        await self._follower.stop()
         await self._membership.stop()
         await self._announce.stop()
         await self._upstream.close()
@@ -148,6 +164,7 @@
             "configuration": self._follower.dump(),
             "requests_in_flight": self._callers.in_flight(),
             "orders_in_flight": self._proxy.orders_in_flight(),
+            "probes_sent": self._probes.sent,
             "gateway_share": self._shares.gateway_share(),
             "admission": self._admission.dump(),
             "quarantine": [entry._asdict() for entry in self._quarantine.entries()],
@@ -159,6 +176,17 @@
         """Return the metrics in the Prometheus text format."""
         return self._metrics.render()
 
+    async def _open(self) -> None:
+        """Listen for callers once there is a configuration to answer them by.
+
+        A gateway that listens earlier answers 404 because it knows no rule yet.
+        """
+        if not self._follower.confirmed:
+            self._opening = self._timers.after(OPEN_PERIOD_S, self._open)
+            return
+        await self._callers.start()
+        self._started = True
+
     def _create_observer(self) -> Any:
         metrics = self._metrics
         count = metrics.declare_counter(
--- a/tests/adapters/test_rpc.py
+++ b/tests/adapters/test_rpc.py
@@ -7,6 +7,7 @@
 from geraniumbend.adapters.rpc import RpcClient, RpcServer
 from geraniumbend.errors import NotLeaderError, UnavailableError
 from geraniumbend.keys import KeyRing
+from geraniumbend.wire import load_structs
 
 SECRET = b"0123456789abcdef"
 
@@ -46,6 +47,21 @@
             await self.client.call("follow", b"", 2)
         self.assertEqual(caught.exception.leader, "127.0.0.1:9")
 
+    async def test_cancellation_that_meets_the_answer_ends_the_call(self):
+        # A dropped cancellation keeps a process from ending.
+        answer = asyncio.get_running_loop().create_future()
+
+        async def exchange(*unused):
+            return await answer
+
+        self.client._exchange = exchange
+        calling = asyncio.ensure_future(self.client.call("echo", b"", 2))
+        await asyncio.sleep(0.01)
+        answer.set_result(load_structs().RpcMessage(call_id=1))
+        calling.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await calling
+
     async def test_slow_call_times_out_and_others_go_on(self):
         with self.assertRaises(UnavailableError):
             await self.client.call("hang", b"", 0.05)
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
+import asyncio
 import unittest
+from contextlib import suppress
 
 from geraniumbend.timers import ManualTimers
 
@@ -32,3 +34,19 @@
         subscription.cancel()
         await timers.advance(2.0)
         self.assertEqual(calls, [])
+
+    async def test_callback_that_drops_the_cancellation_is_called_no_more(self):
+        # Its task otherwise goes on and keeps the process from ending.
+        timers = ManualTimers()
+        calls = []
+
+        async def drop_cancellation():
+            calls.append(1)
+            with suppress(asyncio.CancelledError):
+                await asyncio.sleep(60)
+
+        subscription = timers.every(1.0, drop_cancellation)
+        await timers.advance(1.0)
+        subscription.cancel()
+        await timers.advance(3.0)
+        self.assertEqual(calls, [1])
