Report a write to a closed RPC connection as a connection error

Cause: uvloop raises RuntimeError for a write to a closed transport. The RPC client passes it on, so an order whose control host had just been killed could end with status 500. Change: a channel refuses to send on a closing connection with ConnectionError. Proof: the new test is red without the check.

--- a/src/geraniumbend/adapters/_frames.py
+++ b/src/geraniumbend/adapters/_frames.py
@@ -85,7 +85,12 @@
         ------
         ProtocolError
             If the content is too long.
+        ConnectionError
+            If the connection is closed.
         """
+        if self._writer.is_closing():
+            # uvloop raises RuntimeError for a write to a closed transport.
+            raise ConnectionResetError("connection is closed")
         if len(payload) > MAX_FRAME_BYTES:
             raise ProtocolError(
                 f"frame of {len(payload)} bytes exceeds {MAX_FRAME_BYTES}",
--- a/tests/adapters/test_rpc.py
+++ b/tests/adapters/test_rpc.py
@@ -4,6 +4,9 @@
 import os
 import unittest
 
+import uvloop
+
+from geraniumbend.adapters._frames import FrameChannel
 from geraniumbend.adapters.rpc import RpcClient, RpcServer
 from geraniumbend.errors import NotLeaderError, UnavailableError
 from geraniumbend.keys import KeyRing
@@ -98,6 +101,23 @@
         writer.close()
         self.assertEqual(self.server.counts.rejected, 1)
 
+    async def test_sending_on_a_closed_connection_is_a_connection_error(self):
+        # uvloop raised RuntimeError, which reached callers as status 500.
+        keys = KeyRing([(1, SECRET)])
+
+        async def send_after_close():
+            server = await asyncio.start_server(lambda *streams: None, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            streams = await asyncio.open_connection("127.0.0.1", port)
+            channel = FrameChannel(*streams, keys, is_client=True)
+            channel.close()
+            await asyncio.sleep(0.05)
+            with self.assertRaises(ConnectionError):
+                channel.send(b"x")
+            server.close()
+
+        await asyncio.to_thread(uvloop.run, send_after_close())
+
     async def test_absurd_frame_length_is_rejected(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
         writer.write(b"GBR1" + bytes(16) + b"\xff" * 13)
