--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -4,7 +4,7 @@
 
 from geraniumbend.adapters.announce_listener import AnnounceListener
 from geraniumbend.adapters.http_listener import HttpListener, create_client_context
-from geraniumbend.adapters.http_upstream import HttpUpstream
+from geraniumbend.adapters.http_upstream import HttpUpstream, LoadProbe
 from geraniumbend.adapters.rpc import RpcClients, RpcServer
 from geraniumbend.admission import Admission
 from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
@@ -15,14 +15,19 @@
 from geraniumbend.proxying import Proxy, ProxyParts
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.retries import RetryBudget
-from geraniumbend.routing import LoadReport, Router, ServerTable, parse_selector
-from geraniumbend.timers import LoopTimers
+from geraniumbend.routing import (
+    LoadReport,
+    ProbeScheduler,
+    Router,
+    ServerTable,
+    parse_selector,
+)
+from geraniumbend.timers import LoopTimers, Subscription
 
 if TYPE_CHECKING:
     from geraniumbend.membership import Announcement
     from geraniumbend.model import BackendServer, Configuration
     from geraniumbend.settings import Settings
-    from geraniumbend.timers import Subscription
 
 LOADS_PERIOD_S = 0.25
 ORDERS_POLL_S = 0.02
@@ -65,13 +70,14 @@
             create_client_context(gateway.backend_tls) if gateway.backend_tls else None,
             self._membership.report_failed,
         )
+        self._probes = ProbeScheduler.from_config(
+            settings, self._table, self._shares, timers
+        )
         self._budget = RetryBudget.from_config(
             settings, self._membership, self._shares, timers
         )
         self._quarantine = Quarantine.from_config(settings, self._membership, timers)
         self._orders = OrderClient.from_config(settings, self._clients, timers)
-        # The port describes claims by their state only, so the types do not match.
-        orders: Any = self._orders
         self._metrics = MetricSet()
         parts = ProxyParts(
             self._view,
@@ -80,7 +86,7 @@
             self._budget,
             self._quarantine,
             self._upstream,
-            orders,
+            self._orders if gateway.control else None,
             timers,
         )
         self._proxy = Proxy.from_config(settings, parts, self._create_observer())
@@ -88,6 +94,7 @@
         self._announce = AnnounceListener(gateway.announce, self)
         self._loads: dict[str, float] = {}
         self._draining = False
+        self._taking = Subscription()
         self._started = False
         self._opening: Subscription | None = None
         self._membership.register(self._rpc)
@@ -105,7 +112,9 @@
         await self._announce.start()
         await self._membership.start()
         self._follower.start()
-        self._timers.every(LOADS_PERIOD_S, self._take_loads)
+        self._taking = self._timers.every(LOADS_PERIOD_S, self._take_loads)
+        probe = LoadProbe(self._upstream, self._timers)
+        self._probes.start(lambda view: probe.send(view.server))
         await self._open()
 
     async def stop(self) -> None:
@@ -124,8 +133,10 @@
         await self._callers.stop(limit_s)
         while self._proxy.orders_in_flight() and self._timers.now() < end_s:
             await self._timers.sleep(ORDERS_POLL_S)
-        await self._follower.stop()
+        self._taking.cancel()
+        self._probes.stop()
         await self._orders.stop()
+        await self._follower.stop()
         await self._membership.stop()
         await self._announce.stop()
         await self._upstream.close()
@@ -152,6 +163,7 @@
             "configuration": self._follower.dump(),
             "requests_in_flight": self._callers.in_flight(),
             "orders_in_flight": self._proxy.orders_in_flight(),
+            "probes_sent": self._probes.sent,
             "gateway_share": self._shares.gateway_share(),
             "admission": self._admission.dump(),
             "quarantine": [entry._asdict() for entry in self._quarantine.entries()],
