--- /dev/null
+++ b/bench/_drain.py
@@ -0,0 +1,162 @@
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from typing import Any
+
+import aiohttp
+
+from bench._backend_server import BackendServerStandIn
+from bench._cluster import Cluster
+from bench._experiments import Options, experiments
+from geraniumbend.errors import UnavailableError
+
+GATEWAYS = 13
+SERVERS = 6
+CALLERS_PER_GATEWAY = 2
+LONG_MS = 1_500
+AFTER_DRAIN_S = 5.0
+READY_TIMEOUT_S = 15.0
+CONFIGURATION = """\
+[groups.classes]
+selector = "app=classes"
+
+[rules.class-lists]
+group = "classes"
+request_class = "short"
+deadline_s = 8.0
+match = { path_prefix = "/classes/" }
+"""
+
+
+class Load:
+    """Short and long requests at all gateways until stopped.
+
+    Parameters
+    ----------
+    callers : list of str
+        Caller listeners as ``ip:port``.
+    """
+
+    def __init__(self, callers: list[str]) -> None:
+        self.callers = callers
+        self.statuses: Counter[str] = Counter()
+        self.running = True
+
+    async def run(self) -> None:
+        """Send requests one after the other in each of the callers' tasks."""
+        async with aiohttp.ClientSession() as session:
+            tasks = [
+                self._call_in_turn(session, address, number)
+                for address in self.callers
+                for number in range(CALLERS_PER_GATEWAY)
+            ]
+            await asyncio.gather(*tasks)
+
+    async def _call_in_turn(
+        self, session: aiohttp.ClientSession, address: str, number: int
+    ) -> None:
+        count = 0
+        while self.running:
+            count += 1
+            # One caller of each gateway sends a long request now and then.
+            milliseconds = LONG_MS if number == 0 and count % 40 == 1 else 10
+            url = f"http://{address}/classes/{count}?ms={milliseconds}"
+            self.statuses[await self._call(session, url)] += 1
+            await asyncio.sleep(0.02)
+
+    async def _call(self, session: aiohttp.ClientSession, url: str) -> str:
+        try:
+            async with session.get(url) as answer:
+                await answer.read()
+                return str(answer.status)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return type(error).__name__
+
+
+async def wait_for_answers(callers: list[str]) -> None:
+    """Wait until every gateway answers through a backend server.
+
+    Raises
+    ------
+    UnavailableError
+        If one does not in time.
+    """
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    async with aiohttp.ClientSession() as session:
+        for address in callers:
+            url = f"http://{address}/classes/first?ms=1"
+            while True:
+                async with session.get(url) as answer:
+                    if answer.status == 200:
+                        break
+                if time.monotonic() > deadline:
+                    raise UnavailableError(f"{address} does not answer", "see its log")
+                await asyncio.sleep(0.1)
+
+
+@experiments.register("drain")
+async def measure_drain(options: Options) -> dict[str, Any]:
+    """Drain one backend server under load at 13 gateways.
+
+    The drain is announced to one gateway only.
+
+    Parameters
+    ----------
+    options : Options
+        The scale changes the time of observation.
+
+    Returns
+    -------
+    dict
+        ``last_new_work_s`` from the announcement to the last request that the
+        draining server started, and ``cut_off``, the requests without a whole answer.
+    """
+    cluster = Cluster(gateways=GATEWAYS, controls=3)
+    servers = [
+        BackendServerStandIn(
+            f"server-{number}",
+            {"app": "classes"},
+            announce_to=cluster.announces,
+            seed=options.seed + number,
+        )
+        for number in range(SERVERS)
+    ]
+    try:
+        await cluster.start()
+        for server in servers:
+            await server.start()
+        file = cluster.folder / "classes.toml"
+        file.write_text(CONFIGURATION)
+        code, output = await cluster.operate("apply", str(file))
+        if code:
+            raise UnavailableError(f"apply failed: {output}", "look into the logs")
+        await cluster.wait_until_ready()
+        await wait_for_answers(cluster.callers)
+        load = Load(cluster.callers)
+        running = asyncio.ensure_future(load.run())
+        await asyncio.sleep(3.0 * options.scale)
+        drained = servers[0]
+        before = len(drained.runs)
+        drained.draining = True
+        started = time.monotonic()
+        await drained.announce()
+        await asyncio.sleep(AFTER_DRAIN_S * options.scale)
+        load.running = False
+        await running
+    finally:
+        codes = await cluster.stop()
+        for server in servers:
+            await server.stop()
+    after = [run.started_s - started for run in drained.runs[before:]]
+    return {
+        "last_new_work_s": round(max(after, default=0.0), 3),
+        "cut_off": sum(n for status, n in load.statuses.items() if status != "200"),
+        "answered": load.statuses["200"],
+        "other_outcomes": {k: n for k, n in load.statuses.items() if k != "200"},
+        "runs_before_drain": before,
+        "runs_after_drain": len(after),
+        "gateways": GATEWAYS,
+        "exit_codes_nonzero": sum(1 for one in codes if one),
+    }
--- a/bench/_membership.py
+++ b/bench/_membership.py
@@ -15,7 +15,7 @@
 SIZES = (13, 26, 52)
 WORKERS = 12
 SERVERS_PER_NODE = 30 / 13
-SETTLE_S = 2.0
+SETTLE_S = 4.0
 STEADY_S = 4.0
 SEEDS = 3
 
@@ -228,7 +228,11 @@
     dict
         Figures by size and the slopes per node.
     """
-    sizes = [await measure(size, STEADY_S * options.scale) for size in SIZES]
+    steady_s = STEADY_S * options.scale
+    # The two small clusters together are smaller than the large one.
+    small = [measure(size, steady_s) for size in SIZES[:-1]]
+    sizes = list(await asyncio.gather(*small))
+    sizes.append(await measure(SIZES[-1], steady_s))
     counts = [size["nodes"] for size in sizes]
     slopes = {
         key: float(np.polyfit(counts, [size[key] for size in sizes], 1)[0])
--- a/src/geraniumbend/membership/_gossip.py
+++ b/src/geraniumbend/membership/_gossip.py
@@ -25,7 +25,7 @@
     from geraniumbend.ports import DatagramPort
     from geraniumbend.timers import Subscription, TimerService
 
-PING, ACK, PING_REQ, GOSSIP, NOTIFY, NOTIFY_ACK = 1, 2, 3, 4, 5, 6
+PING, ACK, PING_REQ, GOSSIP, NOTIFY, NOTIFY_ACK, RENEW = 1, 2, 3, 4, 5, 6, 7
 GOSSIP_PERIOD_S = 0.1
 # Loads and demand wait for each other: a datagram costs as much as two records.
 EPHEMERAL_PERIOD_S = 0.5
@@ -35,19 +35,26 @@
 EMPTY_MESSAGE_BYTES = 160
 MAX_QUEUED = 4_096
 HEARD_WEIGHT = 0.5
+FEW_TRANSMISSIONS = 3
+# Part of a second's budget that gossip leaves to anti-entropy, which otherwise starves
+# while a cluster starts and each node still knows only some of the others.
+RESERVE = 0.25
+MANY_QUEUED = 32
 
 declare_event(
     801, "gossip_rejected", "warning", "A message of a peer could not be used."
 )
 
 
-def transmission_limit(kind: str, nodes: int) -> int:
+def transmission_limit(kind: str, nodes: int, queued: int = 0) -> int:
     """Return how often one node sends a change on.
 
     Push gossip misses a share of about e^-k of the nodes when every node sends a
     change k times, and anti-entropy brings the rest; with log2(n) + 2, and at least
     6 because a cluster that starts knows few of its nodes, a change misses one node
-    in several hundred. Loads and demand are superseded soon and get 3.
+    in several hundred. Loads and demand are superseded soon and get 3, and so do all
+    changes while many are queued, as when a whole cluster starts: the byte budget
+    then limits the spreading, and further copies only delay what is not yet known.
 
     Parameters
     ----------
@@ -55,14 +62,16 @@
         Kind of record.
     nodes : int
         Live processes.
+    queued : int, default=0
+        Changes that wait for their transmission.
 
     Returns
     -------
     int
         Transmissions at most.
     """
-    if kind in EPHEMERAL:
-        return 3
+    if kind in EPHEMERAL or queued > MANY_QUEUED:
+        return FEW_TRANSMISSIONS
     return max(6, math.ceil(math.log2(nodes + 1)) + 2)
 
 
@@ -223,7 +232,7 @@
             return False
         room = MESSAGE_BYTES - EMPTY_MESSAGE_BYTES - len(fields.get("value", b""))
         records = fields.pop("records", [])
-        if self._budget.available() > 0:
+        if self._may_spread():
             records = records + self._take_changes(room)
         return self._transmit(type, address, records, fields)
 
@@ -240,18 +249,22 @@
             return
         peers = self._peers(scope)
         for _, address in self._rng.sample(peers, min(FANOUT, len(peers))):
-            if self._budget.available() <= 0:
+            if not self._may_spread():
                 return
             records = self._take_changes(MESSAGE_BYTES - EMPTY_MESSAGE_BYTES, scope)
             if records:
                 self._transmit(GOSSIP, address, records, {})
 
+    def _may_spread(self) -> bool:
+        return self._budget.available() > RESERVE * self._budget.rate
+
     def _values(self) -> list[_Queued]:
         return list(self._queue.values())
 
     def _take_changes(self, room: int, scope: str = "") -> list[Record]:
         taken: list[Record] = []
         nodes = len(self._peers("")) + 1
+        queue_length = len(self._queue)
         # The least often sent change goes first.
         for queued in sorted(self._values(), key=lambda q: q.sent):
             record = queued.record
@@ -259,7 +272,7 @@
                 continue
             room -= queued.size
             queued.sent += 1
-            if queued.sent >= transmission_limit(record.kind, nodes):
+            if queued.sent >= transmission_limit(record.kind, nodes, queue_length):
                 self._queue.pop(record.identity, None)
             taken.append(record._replace(lifetime_s=self._lifetime(record)))
         return taken
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -36,6 +36,9 @@
 REVISION_LIFETIME_S = 3600.0
 TICK_S = 0.25
 ANTI_ENTROPY_S = 5.0
+ANTI_ENTROPY_SOON_S = 0.7
+JOIN_PERIOD_S = 0.5
+JOIN_ATTEMPTS = 20
 # A process that did not run for this long may have been counted dead meanwhile: the
 # fastest peer needs one probe and the suspicion, 2.5 s.
 PAUSE_S = 2.0
@@ -159,6 +162,7 @@
         self._resync_until: float | None = None
         self._records_rejected = 0
         self._pauses = 0
+        self._look_again = False
 
     @classmethod
     def from_config(
@@ -245,8 +249,10 @@
         ]
         seeds = [seed for seed in self._options.seeds if seed != address]
         self._rng.shuffle(seeds)
-        if seeds:
-            await self._sync.run(seeds, replace=True, budgeted=False)
+        if seeds and not await self._sync.run(seeds, replace=True, budgeted=False):
+            self._subscriptions.append(
+                self._timers.after(0.0, lambda: self._join_again(seeds))
+            )
         # Nodes that start at the same time are unknown to the seed at first.
         for delay_s in SECOND_LOOKS_S:
             again = self._timers.after(delay_s, self._run_anti_entropy)
@@ -491,12 +497,30 @@
         self._view.tick()
         self._published.set_scope(len(self._peers(next(iter(EPHEMERAL)))) + 1)
 
+    async def _join_again(self, seeds: list[str]) -> None:
+        """Ask the seeds more often at first; they may be busy or start later."""
+        for _ in range(JOIN_ATTEMPTS):
+            await self._timers.sleep(JOIN_PERIOD_S * self._rng.uniform(0.5, 1.5))
+            if await self._sync.run(list(seeds), replace=True, budgeted=False):
+                return
+
     async def _run_anti_entropy(self) -> None:
         if not self._check_clock() or self._resync_until is not None:
             return
         peers = [address for _, address in self._peers("")]
-        if peers:
-            await self._sync.run([self._rng.choice(peers)], replace=False)
+        if not peers:
+            return
+        moved = self._sync.moved
+        await self._sync.run([self._rng.choice(peers)], replace=False)
+        if self._sync.moved > moved and not self._look_again:
+            # Where records differ once, others are likely to be missing too.
+            self._look_again = True
+            delay = ANTI_ENTROPY_SOON_S * self._rng.uniform(0.5, 1.5)
+            self._timers.after(delay, self._look_soon)
+
+    async def _look_soon(self) -> None:
+        self._look_again = False
+        await self._run_anti_entropy()
 
     async def _seek_lost_members(self) -> None:
         """Try one seed or dead member, so that parts of a cluster find together."""
--- a/src/geraniumbend/membership/_servers.py
+++ b/src/geraniumbend/membership/_servers.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import struct
+from typing import TYPE_CHECKING, Any
 
 from geraniumbend.errors import ConflictError, ProtocolError
 from geraniumbend.logs import declare_event, log_event
+from geraniumbend.membership._gossip import RENEW
 from geraniumbend.membership._records import SERVER, TOMBSTONE_S, Entry, Record
 from geraniumbend.membership._values import (
     DEREGISTERED,
@@ -24,6 +26,7 @@
     from geraniumbend.membership._view import ServerView
     from geraniumbend.timers import TimerService
 
+LEASE = struct.Struct("!I")
 MIN_LEASE_S = 1.0
 # The record has to fit into one datagram.
 MAX_CONTENT_BYTES = 960
@@ -78,6 +81,7 @@
         self._timers = timers
         self._leases: dict[str, float] = {}
         members.subscribe(self._watch_holder)
+        gossip.handle(RENEW, self._take_renewal)
 
     def announce(self, announcement: Announcement) -> bool:
         """Take an announcement that reached this gateway.
@@ -112,11 +116,12 @@
             same
             and known is not None
             and known.state == LIVE
-            and known.origin == record.origin
             and known.value == record.value
+            and self._is_vouched(known)
         ):
-            if entry is not None and entry.deadline is not None:
-                self._table.set_deadline(entry, None)
+            if entry is not None:
+                entry.deadline = None
+            self._forward_renewal(known, announcement.lease_s)
             return False
         if known is None or known.state != LIVE:
             log_event(810, server=server.server_id, incarnation=server.incarnation)
@@ -124,6 +129,34 @@
         self._gossip.enqueue(record)
         return True
 
+    def _forward_renewal(self, record: Record, lease_s: float) -> None:
+        """Renew the lease at the gateway that vouches for an unchanged server.
+
+        A server that sends each announcement to another gateway would otherwise
+        cause a change that all gateways must learn with every renewal.
+        """
+        holder = self._members.members.get(record.origin)
+        if record.origin == self._members.name or holder is None:
+            return
+        self._gossip.send(
+            RENEW,
+            holder.address,
+            number=record.major,
+            target=record.key,
+            value=LEASE.pack(int(lease_s * 1000)),
+        )
+
+    def _take_renewal(self, address: str, message: Any) -> None:
+        entry = self._table.get(SERVER, "", message.target)
+        if entry is None or message.target not in self._leases:
+            return
+        value = message.value
+        if entry.record.major != message.number or len(value) != LEASE.size:
+            return
+        lease_s = min(LEASE.unpack(value)[0] / 1000, MAX_LEASE_S)
+        end = self._timers.now() + lease_s
+        self._leases[message.target] = max(self._leases[message.target], end)
+
     def depart(self, server_id: str, incarnation: int = 0) -> bool:
         """Deregister a backend server on all gateways.
 
@@ -215,7 +248,11 @@
         for server_id in [s for s, end in self._leases.items() if end <= now]:
             del self._leases[server_id]
             entry = self._table.get(SERVER, "", server_id)
-            if entry is not None and entry.record.state == LIVE:
+            if entry is None or entry.record.state != LIVE:
+                continue
+            # Renewals that were forwarded leave a lease here as well; its end says
+            # nothing while another gateway vouches.
+            if entry.record.origin == self._members.name:
                 self._lapse(entry)
 
     def expire(self, entry: Entry) -> None:
--- a/src/geraniumbend/membership/_sync.py
+++ b/src/geraniumbend/membership/_sync.py
@@ -86,6 +86,7 @@
         self._outgoing = outgoing
         self._drop = drop
         self.answering = False
+        self.moved = 0
 
     def register(self, server: Any) -> None:
         """Register the methods with an `adapters.rpc.RpcServer`."""
@@ -156,6 +157,7 @@
                 wanted.append(key_hash)
         if not wanted and not pushed:
             return False
+        self.moved += len(wanted) + len(pushed)
         await self._exchange(address, wanted, pushed[:MAX_PAIRS], replace)
         return not response.complete or len(pushed) > MAX_PAIRS
 
@@ -232,7 +234,9 @@
         return [pack_record(record) for record in outgoing if record is not None]
 
     def _check_answering(self) -> None:
-        if not self.answering or self._budget.must_wait():
+        # Debt of one second leaves room for acknowledgements of probes.
+        indebted = self._budget.available() < -self._budget.rate
+        if not self.answering or indebted:
             raise UnavailableError(
                 "this process does not synchronise others now",
                 "ask another peer or try again in a second",
--- a/tests/membership/test_servers.py
+++ b/tests/membership/test_servers.py
@@ -45,6 +45,26 @@
         now = cluster.nodes["g0"]._table.get("server", "", "s1").record
         self.assertEqual(now.order, record.order)
 
+    async def test_renewals_that_rotate_through_gateways_cost_no_new_version(self):
+        cluster = await self.start()
+        await self.renew(3, "g0", announcement())
+        record = cluster.nodes["g0"]._table.get("server", "", "s1").record
+        for turn in range(15):
+            await self.renew(3, f"g{1 + turn % 4}", announcement())
+        self.assert_known("s1")
+        for node in cluster.nodes.values():
+            now = node._table.get("server", "", "s1").record
+            self.assertEqual(now.order, record.order)
+
+    async def test_server_stays_when_renewals_cannot_reach_its_former_gateway(self):
+        cluster = await self.start()
+        kept = [announcement(f"k{i}", labels={"app": "a"}) for i in range(3)]
+        moved = announcement(labels={"app": "a"})
+        await self.renew(3, "g0", moved, *kept)
+        cluster.cut(["g2"], ["g0"], both=False)
+        await self.watch(40, "g2", [moved, *kept], "s1", True, cluster.names)
+        self.assertFalse(cluster.nodes["g3"].servers()["s1"].stale)
+
     async def test_silent_server_of_a_group_expires_everywhere_after_its_lease(self):
         cluster = await self.start()
         others = [announcement(f"s{i}", labels={"app": "a"}) for i in (2, 3)]
