--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -118,7 +118,10 @@
             try:
                 attempt = await self._send_hedged(attempt, context)
             except UpstreamError as error:
-                successor = self._begin_retry(context, error.run == "not_run")
+                if error.unreachable:
+                    successor = self._begin_replacement(context)
+                else:
+                    successor = self._begin_retry(context, error.run == "not_run")
                 if successor is None:
                     raise _explain(context, error) from error
             else:
@@ -170,9 +173,17 @@
         ------
         UpstreamError
             If no answer arrived; the attempt is finished.
+        RefusedError
+            If the request is in quarantine; the attempt is finished.
         """
         rule = context.rule
+        fingerprint = context.fingerprint
         silence_s = self._latencies.silence_bound(rule.group, rule.request_class)
+        try:
+            await self._quarantine.enter(fingerprint)
+        except BaseException:
+            self.finish(attempt, context)
+            raise
         context.unresolved += 1
         try:
             answer = await self._upstream.send(
@@ -184,11 +195,12 @@
                 context.unresolved -= 1
             self.finish(attempt, context, failed=True)
             if error.server_lost:
-                await self._quarantine.report_loss(
-                    context.fingerprint, attempt.view.server_id
-                )
+                server_id = attempt.view.server_id
+                await self._quarantine.report_loss(fingerprint, server_id)
+            self._quarantine.leave(fingerprint)
             raise
         except BaseException:
+            self._quarantine.leave(fingerprint)
             self.finish(attempt, context)
             raise
         attempt.answer = answer
@@ -197,7 +209,7 @@
         report = answer.headers.get(REPORT_HEADER)
         if report is not None:
             self._router.observe_report(attempt.view, report)
-        self._quarantine.report_success(context.fingerprint)
+        self._quarantine.report_success(fingerprint)
 
     def finish(
         self, attempt: Attempt, context: RequestContext, failed: bool = False
@@ -225,6 +237,23 @@
             return None
         if not self._budget.spend(context.rule.group):
             return None
+        return self._begin_next(context)
+
+    def _begin_replacement(self, context: RequestContext) -> Attempt | None:
+        """Choose another server after a connection could not be opened.
+
+        This neither counts as an attempt nor spends the retry budget, since no server
+        got work from it; it ends when all servers of the group were tried. Otherwise
+        the loss of two servers would refuse requests while others are idle.
+        """
+        context.attempts -= 1
+        if context.single or not context.repeatable:
+            return None
+        if self._timers.now() >= context.deadline_s:
+            return None
+        return self._begin_next(context)
+
+    def _begin_next(self, context: RequestContext) -> Attempt | None:
         try:
             return self.begin(context)
         except RefusedError:
@@ -248,10 +277,10 @@
 
 def _explain(context: RequestContext, error: UpstreamError) -> RefusedError:
     if error.timed_out:
-        return context.refuse(error, 504, "deadline-passed")
+        return context.refuse(error, 504, "deadline_passed")
     if context.unresolved:
-        return context.refuse(error, 502, "backend-failed")
-    return context.refuse(error, 503, "backend-unreachable", 1.0)
+        return context.refuse(error, 502, "backend_failed")
+    return context.refuse(error, 503, "backend_unreachable", 1.0)
 
 
 def _explain_shed(context: RequestContext, answer: Answer) -> RefusedError:
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -9,6 +9,7 @@
 
     from geraniumbend.admission import AdmissionRequest
     from geraniumbend.model import BackendServer, Configuration
+    from geraniumbend.orders import Claim
     from geraniumbend.routing import Outcome, ServerView
 
     RawHeaders = Sequence[tuple[bytes, bytes]]
@@ -31,6 +32,8 @@
         The connection broke before the answer and a new one is refused.
     timed_out : bool, default=False
         The deadline passed.
+    unreachable : bool, default=False
+        No connection could be opened, so that the attempt cost the server nothing.
     """
 
     def __init__(
@@ -39,11 +42,13 @@
         run: Literal["not_run", "unknown"],
         server_lost: bool = False,
         timed_out: bool = False,
+        unreachable: bool = False,
     ) -> None:
         super().__init__(message)
         self.run = run
         self.server_lost = server_lost
         self.timed_out = timed_out
+        self.unreachable = unreachable
 
 
 class BodySource(Protocol):
@@ -238,6 +243,14 @@
         """Raise RefusedError if the request is in quarantine."""
         ...
 
+    async def enter(self, fingerprint: str) -> None:
+        """Wait until the request may run; raises RefusedError if it must not."""
+        ...
+
+    def leave(self, fingerprint: str) -> None:
+        """End the run that `enter` allowed."""
+        ...
+
     async def report_loss(self, fingerprint: str, server_id: str) -> None:
         """Tell all gateways that a server was lost to a request."""
         ...
@@ -263,30 +276,28 @@
         ...
 
 
-class ClaimPort(Protocol):
-    """Claim of an order's key."""
-
-    state: str
-
-
 class OrdersPort(Protocol):
     """Journal of orders."""
 
     async def claim(
         self,
         key: str,
-        caller_digest: str,
-        request_digest: str,
+        caller_digest: bytes,
+        request_digest: bytes,
         owner: str,
         deadline_s: float,
-    ) -> ClaimPort:
-        """Claim a key."""
+    ) -> Claim:
+        """Claim a key; raises RefusedError when no majority answers."""
+        ...
+
+    async def complete(self, claim: Claim, answer: bytes) -> None:
+        """Record the answer of an order that has run."""
         ...
 
-    async def complete(self, claim: ClaimPort, answer: bytes) -> None:
-        """Store the answer of a claimed order."""
+    async def release(self, claim: Claim) -> None:
+        """Record that an order has not run."""
         ...
 
-    async def release(self, claim: ClaimPort) -> None:
-        """Record that a claimed order was not run."""
+    async def abandon(self, claim: Claim) -> None:
+        """Record that it is unknown whether an order has run."""
         ...
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -2,56 +2,37 @@
 
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from geraniumbend.adapters.announce_listener import AnnounceListener
 from geraniumbend.adapters.http_listener import HttpListener, create_client_context
-from geraniumbend.adapters.http_upstream import HttpUpstream
+from geraniumbend.adapters.http_upstream import HttpUpstream, LoadProbe
 from geraniumbend.adapters.rpc import RpcClients, RpcServer
 from geraniumbend.admission import Admission
 from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
-from geraniumbend.errors import GeraniumbendError
 from geraniumbend.keys import KeyRing
 from geraniumbend.membership import Membership, Shares
 from geraniumbend.metrics import MetricSet
-from geraniumbend.model import Configuration
+from geraniumbend.orders import OrderClient
 from geraniumbend.proxying import Proxy, ProxyParts
-from geraniumbend.routing import LoadReport, Router, ServerTable
-from geraniumbend.timers import LoopTimers
+from geraniumbend.quarantine import Quarantine
+from geraniumbend.retries import RetryBudget
+from geraniumbend.routing import (
+    LoadReport,
+    ProbeScheduler,
+    Router,
+    ServerTable,
+    parse_selector,
+)
+from geraniumbend.timers import LoopTimers, Subscription
 
 if TYPE_CHECKING:
     from geraniumbend.membership import Announcement
-    from geraniumbend.model import BackendServer
+    from geraniumbend.model import BackendServer, Configuration
     from geraniumbend.settings import Settings
+    from geraniumbend.timers import Subscription
 
 LOADS_PERIOD_S = 0.25
-POLL_PERIOD_S = 0.2
-POLL_TIMEOUT_S = 1.0
 ORDERS_POLL_S = 0.02
-
-
-class NoRetries:
-    """Retry budget that allows none."""
-
-    def spend(self, group: str) -> bool:
-        """Refuse the attempt."""
-        return False
-
-    def earn(self, group: str) -> None:
-        """Ignore the success."""
-
-
-class NoQuarantine:
-    """Quarantine that holds nothing."""
-
-    def check(self, fingerprint: str) -> None:
-        """Admit the request."""
-
-    async def report_loss(self, fingerprint: str, server_id: str) -> None:
-        """Ignore the loss."""
-
-    def report_success(self, fingerprint: str) -> None:
-        """Ignore the success."""
+OPEN_PERIOD_S = 0.02
 
 
 class Gateway:
@@ -88,16 +69,25 @@
             timers,
             self._shares.gateway_share,
             create_client_context(gateway.backend_tls) if gateway.backend_tls else None,
+            self._membership.report_failed,
         )
+        self._probes = ProbeScheduler.from_config(
+            settings, self._table, self._shares, timers
+        )
+        self._budget = RetryBudget.from_config(
+            settings, self._membership, self._shares, timers
+        )
+        self._quarantine = Quarantine.from_config(settings, self._membership, timers)
+        self._orders = OrderClient.from_config(settings, self._clients, timers)
         self._metrics = MetricSet()
         parts = ProxyParts(
             self._view,
             self._router,
             self._admission,
-            NoRetries(),
-            NoQuarantine(),
+            self._budget,
+            self._quarantine,
             self._upstream,
-            None,
+            self._orders if gateway.control else None,
             timers,
         )
         self._proxy = Proxy.from_config(settings, parts, self._create_observer())
@@ -105,7 +95,9 @@
         self._announce = AnnounceListener(gateway.announce, self)
         self._loads: dict[str, float] = {}
         self._draining = False
+        self._taking = Subscription()
         self._started = False
+        self._opening: Subscription | None = None
         self._membership.register(self._rpc)
         self._membership.subscribe_servers(self._update_servers)
         self._view.subscribe(self._update_configuration)
@@ -121,10 +113,10 @@
         await self._announce.start()
         await self._membership.start()
         self._follower.start()
-        self._timers.every(POLL_PERIOD_S, self._poll)
-        self._timers.every(LOADS_PERIOD_S, self._take_loads)
-        await self._callers.start()
-        self._started = True
+        self._taking = self._timers.every(LOADS_PERIOD_S, self._take_loads)
+        probe = LoadProbe(self._upstream, self._timers)
+        self._probes.start(lambda view: probe.send(view.server))
+        await self._open()
 
     async def stop(self) -> None:
         """Shut down without cutting off a request.
@@ -133,6 +125,8 @@
         balancer chooses another gateway before connections are refused.
         """
         self._draining = True
+        if self._opening is not None:
+            self._opening.cancel()
         self._callers.begin_drain()
         await self._timers.sleep(self._settings.drain_delay_s)
         limit_s = self._settings.drain_limit_s
@@ -140,6 +134,9 @@
         await self._callers.stop(limit_s)
         while self._proxy.orders_in_flight() and self._timers.now() < end_s:
             await self._timers.sleep(ORDERS_POLL_S)
+        self._taking.cancel()
+        self._probes.stop()
+        await self._orders.stop()
         await self._follower.stop()
         await self._membership.stop()
         await self._announce.stop()
@@ -157,8 +154,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers may send requests here."""
-        confirmed = self._follower.confirmed or self._view.current.revision > 0
-        return self._started and not self._draining and confirmed
+        return self._started and not self._draining and self._follower.confirmed
 
     def dump(self) -> dict[str, Any]:
         """Return the state of all parts."""
@@ -168,8 +164,10 @@
             "configuration": self._follower.dump(),
             "requests_in_flight": self._callers.in_flight(),
             "orders_in_flight": self._proxy.orders_in_flight(),
+            "probes_sent": self._probes.sent,
             "gateway_share": self._shares.gateway_share(),
             "admission": self._admission.dump(),
+            "quarantine": [entry._asdict() for entry in self._quarantine.entries()],
             "connections": self._upstream.dump(),
             "membership": self._membership.dump(),
         }
@@ -178,6 +176,17 @@
         """Return the metrics in the Prometheus text format."""
         return self._metrics.render()
 
+    async def _open(self) -> None:
+        """Listen for callers once there is a configuration to answer them by.
+
+        A gateway that listens earlier answers 404 because it knows no rule yet.
+        """
+        if not self._follower.confirmed:
+            self._opening = self._timers.after(OPEN_PERIOD_S, self._open)
+            return
+        await self._callers.start()
+        self._started = True
+
     def _create_observer(self) -> Any:
         metrics = self._metrics
         count = metrics.declare_counter(
@@ -205,6 +214,18 @@
         self._upstream.retain(servers.values())
 
     def _update_configuration(self, configuration: Configuration) -> None:
+        selectors = {
+            name: parse_selector(group.selector)
+            for name, group in configuration.groups.items()
+        }
+
+        def list_groups(server: BackendServer) -> list[str]:
+            override = configuration.label_overrides.get(server.server_id, {})
+            labels = {**server.labels, **override}
+            effective = {name: value for name, value in labels.items() if value}
+            return [n for n, wanted in selectors.items() if wanted.matches(effective)]
+
+        self._membership.set_grouping(list_groups)
         self._table.update(self._membership.servers(), configuration)
         self._membership.set_revision(configuration.revision)
 
@@ -218,17 +239,3 @@
             if load.received_at > view.report_at:
                 report = LoadReport(float(load.in_flight), load.slots)
                 view.observe_report(report, load.received_at)
-
-    async def _poll(self) -> None:
-        # Control processes that offer no subscription yet are asked for the whole.
-        if self._follower.confirmed:
-            return
-        for address in self._settings.control:
-            try:
-                body = await self._clients.call(
-                    address, "configuration.get", b"", POLL_TIMEOUT_S
-                )
-            except GeraniumbendError:
-                continue
-            self._view.install(msgspec.json.decode(body, type=Configuration))
-            return
--- a/tests/proxying/test_proxy.py
+++ b/tests/proxying/test_proxy.py
@@ -5,9 +5,18 @@
 import unittest
 
 from geraniumbend.model import RetrySettings
-from tests.adapters._backend import ScriptedBackend, reply, send_raw
+from tests.adapters._backend import (
+    ScriptedBackend,
+    reply,
+    send_raw,
+    use_default_loop,
+    use_uvloop,
+)
 from tests.proxying._path import DataPath, make_rule, parse, problem
 
+setUpModule = use_uvloop
+tearDownModule = use_default_loop
+
 SHED = b"HTTP/1.1 503 S\r\nContent-Length: 0\r\nRequest-Not-Run: 1\r\n\r\n"
 FAILED = b"HTTP/1.1 500 F\r\nContent-Length: 3\r\n\r\nbad"
 
@@ -177,6 +186,28 @@
             self.losses = path.quarantine.losses
             return answer
 
+    async def test_unreachable_servers_neither_count_nor_spend_the_budget(self):
+        dead = [ScriptedBackend(reply()) for _ in range(3)]
+        for backend in dead:
+            await backend.__aenter__()
+            await backend.__aexit__()
+        async with (
+            ScriptedBackend(reply()) as alive,
+            DataPath(*dead, alive, rule=make_rule()) as path,
+        ):
+            path.budget.left = 0
+            answer = await path.get(method="POST", body=b"x")
+            self.assertEqual((answer[0], len(alive.received)), (200, 1))
+
+    async def test_refusal_does_not_show_the_address_of_a_server(self):
+        backend = ScriptedBackend(reply())
+        await backend.__aenter__()
+        await backend.__aexit__()
+        async with DataPath(backend, rule=make_rule()) as path:
+            status, document = problem(await path.get())
+        self.assertEqual((status, document["run"]), (503, "not_run"))
+        self.assertNotIn(str(backend.port), document["detail"])
+
     async def test_safe_request_is_retried_elsewhere(self):
         for first in (drop, send_raw(FAILED), send_raw(SHED)):
             self.assertEqual((await self.check(first))[0], 200)
@@ -280,6 +311,7 @@
         self.assertLess(time.monotonic() - started, 0.2)
         await asyncio.wait_for(self.one.closed.wait(), 1)
         self.assertEqual(len(self.path.router.outcomes), self.path.router.started)
+        self.assertEqual(self.path.quarantine.left, self.path.quarantine.entered)
         self.assertEqual(self.path.admission.released, 33)
 
     async def test_hedge_needs_budget_and_a_safe_method(self):
@@ -304,3 +336,4 @@
         await asyncio.wait_for(self.one.closed.wait(), 1)
         await asyncio.wait_for(self.two.closed.wait(), 1)
         self.assertEqual(len(self.path.router.outcomes), self.path.router.started)
+        self.assertEqual(self.path.quarantine.left, self.path.quarantine.entered)
