--- a/bench/_drain.py
+++ b/bench/_drain.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from collections import Counter
 from typing import Any
@@ -41,7 +42,7 @@
 
     def __init__(self, callers: list[str]) -> None:
         self.callers = callers
-        self.statuses: Counter[str] = Counter()
+        self.outcomes: Counter[str] = Counter()
         self.running = True
 
     async def run(self) -> None:
@@ -63,16 +64,26 @@
             # One caller of each gateway sends a long request now and then.
             milliseconds = LONG_MS if number == 0 and count % 40 == 1 else 10
             url = f"http://{address}/classes/{count}?ms={milliseconds}"
-            self.statuses[await self._call(session, url)] += 1
+            self.outcomes[await self._call(session, url)] += 1
             await asyncio.sleep(0.02)
 
     async def _call(self, session: aiohttp.ClientSession, url: str) -> str:
         try:
             async with session.get(url) as answer:
-                await answer.read()
-                return str(answer.status)
-        except (aiohttp.ClientError, TimeoutError) as error:
-            return type(error).__name__
+                body = await answer.read()
+                if answer.status == 200:
+                    return "answered"
+                refusal = json.loads(body)
+                if refusal.get("run") == "not_run":
+                    return f"refused: {refusal.get('detail')}"
+                return f"cut off: {answer.status} {refusal.get('detail')}"
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            return f"cut off: {type(error).__name__}"
+
+
+def count_outcomes(outcomes: Counter[str], prefix: str) -> int:
+    """Return how many requests ended in an outcome of a kind."""
+    return sum(n for outcome, n in outcomes.items() if outcome.startswith(prefix))
 
 
 async def wait_for_answers(callers: list[str]) -> None:
@@ -111,7 +122,8 @@
     -------
     dict
         ``last_new_work_s`` from the announcement to the last request that the
-        draining server started, and ``cut_off``, the requests without a whole answer.
+        draining server started, and ``cut_off``, the requests that got neither a whole
+        answer nor a refusal that says "not run".
     """
     cluster = Cluster(gateways=GATEWAYS, controls=3)
     servers = [
@@ -152,9 +164,10 @@
     after = [run.started_s - started for run in drained.runs[before:]]
     return {
         "last_new_work_s": round(max(after, default=0.0), 3),
-        "cut_off": sum(n for status, n in load.statuses.items() if status != "200"),
-        "answered": load.statuses["200"],
-        "other_outcomes": {k: n for k, n in load.statuses.items() if k != "200"},
+        "cut_off": count_outcomes(load.outcomes, "cut off"),
+        "refused_not_run": count_outcomes(load.outcomes, "refused"),
+        "answered": load.outcomes["answered"],
+        "other_outcomes": {k: n for k, n in load.outcomes.items() if k != "answered"},
         "runs_before_drain": before,
         "runs_after_drain": len(after),
         "gateways": GATEWAYS,
