Use reloading certificates on every listener and take free ports for operators

Cause: two modules built TLS contexts, only one of them reloaded changed files, and the operators' API ignored its tls table. The operators' API listens on a socket of its own. Conclusion: the tables tls of all listeners are effective and reload without a restart.

--- a/src/geraniumbend/adapters/_announce_listener.py
+++ b/src/geraniumbend/adapters/_announce_listener.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from msgspec import Meta
 
-from geraniumbend.adapters._http_tls import create_server_context
+from geraniumbend.certificates import listener_certificates
 from geraniumbend.errors import GeraniumbendError, RefusedError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.membership import Announcement
@@ -85,6 +85,7 @@
     def __init__(self, listen: ListenSettings, source: AnnounceSource) -> None:
         self.port = listen.port
         self._listen = listen
+        self.certificates = listener_certificates(listen.tls)
         self._source = source
         self._runner: web.ServerRunner | None = None
 
@@ -95,12 +96,11 @@
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=STOP_TIMEOUT_S)
         await self._runner.setup()
-        tls = self._listen.tls
         site = web.TCPSite(
             self._runner,
             self._listen.host,
             self._listen.port,
-            ssl_context=None if tls is None else create_server_context(tls),
+            ssl_context=self.certificates.context if self.certificates else None,
         )
         await site.start()
         self.port = self._runner.addresses[0][1]
--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from geraniumbend.adapters._caller_protocol import CallerProtocol
-from geraniumbend.adapters._http_tls import create_server_context
+from geraniumbend.certificates import listener_certificates
 from geraniumbend.logs import declare_event, log_event
 
 if TYPE_CHECKING:
@@ -98,6 +98,7 @@
         self, handler: Handler, listen: ListenSettings, limits: Limits | None = None
     ) -> None:
         self._listen = listen
+        self.certificates = listener_certificates(listen.tls)
         self._server = CallerServer(handler, limits or Limits())
         self._listening: asyncio.AbstractServer | None = None
         self.port = listen.port
@@ -118,12 +119,11 @@
 
     async def start(self) -> None:
         """Listen."""
-        tls = self._listen.tls
         self._listening = await asyncio.get_running_loop().create_server(
             self._server,
             self._listen.host,
             self._listen.port,
-            ssl=None if tls is None else create_server_context(tls),
+            ssl=self.certificates.context if self.certificates else None,
             backlog=BACKLOG,
         )
         self.port = self._listening.sockets[0].getsockname()[1]
--- a/src/geraniumbend/adapters/http_listener.py
+++ b/src/geraniumbend/adapters/http_listener.py
@@ -4,12 +4,5 @@
 
 from geraniumbend.adapters._caller_request import HttpCallerRequest
 from geraniumbend.adapters._http_listener import HttpListener, Limits
-from geraniumbend.adapters._http_tls import create_client_context, create_server_context
 
-__all__ = [
-    "HttpCallerRequest",
-    "HttpListener",
-    "Limits",
-    "create_client_context",
-    "create_server_context",
-]
+__all__ = ["HttpCallerRequest", "HttpListener", "Limits"]
--- a/src/geraniumbend/adapters/operators_api.py
+++ b/src/geraniumbend/adapters/operators_api.py
@@ -4,6 +4,7 @@
 
 import itertools
 import logging
+import socket
 import uuid
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -13,6 +14,7 @@
 from sanic.response import HTTPResponse
 
 from geraniumbend.adapters._operators_access import OperatorsAccess
+from geraniumbend.certificates import listener_certificates
 from geraniumbend.configuration import (
     ConfigurationService,
     RemoveLabels,
@@ -35,6 +37,7 @@
     from sanic import Request
 
     from geraniumbend.settings import ControlSettings
+    from geraniumbend.timers import Subscription, TimerService
 
     Handler = Callable[..., Awaitable[Any]]
 
@@ -87,6 +90,8 @@
         Configuration.
     control : ControlPort
         The process.
+    timers : TimerService
+        Period in which changed certificate files are looked for.
     """
 
     def __init__(
@@ -94,8 +99,11 @@
         settings: ControlSettings,
         service: ConfigurationService,
         control: ControlPort,
+        timers: TimerService,
     ) -> None:
         self._listen = settings.operators
+        self._timers = timers
+        self._watching: Subscription | None = None
         self._access = OperatorsAccess.from_config(settings)
         self._service = service
         self._control = control
@@ -112,9 +120,14 @@
 
     async def start(self) -> None:
         """Listen; the application never starts worker processes."""
+        certificates = listener_certificates(self._listen.tls)
+        if certificates is not None:
+            self._watching = certificates.watch(self._timers)
+        # Sanic takes port 0 for its default port 8000.
+        listener = socket.create_server((self._listen.host, self._listen.port))
         self._server = await self._application.create_server(
-            host=self._listen.host,
-            port=self._listen.port,
+            sock=listener,
+            ssl=None if certificates is None else certificates.context,
             return_asyncio_server=True,
             access_log=False,
         )
@@ -129,6 +142,8 @@
 
     async def stop(self) -> None:
         """Stop listening."""
+        if self._watching is not None:
+            self._watching.cancel()
         if self._server is not None:
             self._server.close()
             self._server = None
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -75,7 +75,7 @@
         )
         self._log_members = LogMembers(self._replicas, self._clients)
         self._quarantine = Quarantine.from_config(settings, self._membership, timers)
-        self._api = OperatorsApi(settings.control, self._service, self)
+        self._api = OperatorsApi(settings.control, self._service, self, timers)
         self._founding: Subscription | None = None
         parts: list[Any] = [*self._replicas, self._membership, self._service]
         for part in [*parts, self._orders, self._log_members]:
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -3,10 +3,11 @@
 from typing import TYPE_CHECKING, Any
 
 from geraniumbend.adapters.announce_listener import AnnounceListener
-from geraniumbend.adapters.http_listener import HttpListener, create_client_context
+from geraniumbend.adapters.http_listener import HttpListener
 from geraniumbend.adapters.http_upstream import HttpUpstream, LoadProbe
 from geraniumbend.adapters.rpc import RpcClients, RpcServer
 from geraniumbend.admission import Admission
+from geraniumbend.certificates import client_certificates
 from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
 from geraniumbend.keys import KeyRing
 from geraniumbend.membership import Membership, Shares
@@ -64,10 +65,11 @@
         self._admission = Admission.from_config(
             settings, self._table, self._shares, timers
         )
+        backend_certificates = client_certificates(gateway.backend_tls)
         self._upstream = HttpUpstream(
             timers,
             self._shares.gateway_share,
-            create_client_context(gateway.backend_tls) if gateway.backend_tls else None,
+            backend_certificates.context if backend_certificates else None,
             self._membership.report_failed,
         )
         self._probes = ProbeScheduler.from_config(
@@ -97,6 +99,15 @@
         self._taking = Subscription()
         self._started = False
         self._opening: Subscription | None = None
+        self._certificates = [
+            certificates
+            for certificates in (
+                backend_certificates,
+                self._callers.certificates,
+                self._announce.certificates,
+            )
+            if certificates is not None
+        ]
         self._membership.register(self._rpc)
         self._membership.subscribe_servers(self._update_servers)
         self._view.subscribe(self._update_configuration)
@@ -113,6 +124,8 @@
         await self._membership.start()
         self._follower.start()
         self._taking = self._timers.every(LOADS_PERIOD_S, self._take_loads)
+        for certificates in self._certificates:
+            certificates.watch(self._timers)
         probe = LoadProbe(self._upstream, self._timers)
         self._probes.start(lambda view: probe.send(view.server))
         await self._open()
--- a/tests/adapters/test_operators_api.py
+++ b/tests/adapters/test_operators_api.py
@@ -1,7 +1,10 @@
 from __future__ import annotations
 
+import ssl
+import tempfile
 import unittest
 import uuid
+from pathlib import Path
 
 import aiohttp
 
@@ -11,6 +14,7 @@
 from geraniumbend.timers import LoopTimers
 from geraniumbend.tokens import hash_token
 from tests.configuration.cluster import FakeCluster, FakeMember
+from tests.test_certificates import write_certificate
 
 WRITER, READER = "writer-secret-0123456789", "reader-secret-0123456789"
 GROUP = {"operation": "set_group", "group": {"name": "a", "selector": "app=x"}}
@@ -50,7 +54,7 @@
             TokenSettings("max", hash_token(READER), "read"),
         ]
         self.api = OperatorsApi(
-            ControlSettings(tokens=tokens), self.service, self.control
+            ControlSettings(tokens=tokens), self.service, self.control, LoopTimers()
         )
         await self.api.start()
         self.session = aiohttp.ClientSession(f"http://127.0.0.1:{self.api.port}")
@@ -127,6 +131,28 @@
         self.assertEqual([e["revision"] for e in history["history"]], [5, 4])
         self.assertEqual(history["history"][0]["operator"], "eva")
 
+    async def test_port_zero_takes_a_free_port_for_each_listener(self):
+        second = OperatorsApi(
+            ControlSettings(), self.service, self.control, LoopTimers()
+        )
+        await second.start()
+        self.addAsyncCleanup(second.stop)
+        self.assertNotEqual(second.port, self.api.port)
+
+    async def test_listener_with_certificates_speaks_tls_only(self):
+        with tempfile.TemporaryDirectory() as name:
+            tls = write_certificate(Path(name), "a")
+            settings = ControlSettings(operators=ListenSettings(tls=tls))
+            api = OperatorsApi(settings, self.service, self.control, LoopTimers())
+            await api.start()
+            self.addAsyncCleanup(api.stop)
+            trust = ssl.create_default_context(cafile=tls.certificate)
+            address = f"//127.0.0.1:{api.port}/v1/groups"
+            async with self.session.get(f"https:{address}", ssl=trust) as answer:
+                self.assertEqual(answer.status, 200)
+            with self.assertRaises(aiohttp.ClientError):
+                await self.session.get(f"http:{address}")
+
     async def test_backup_members_quarantine_and_state_are_reachable(self):
         await self.apply(0, GROUP)
         _, backup = await self.send("GET", "/v1/backup")
@@ -160,4 +186,4 @@
     async def test_open_api_beyond_loopback_is_refused_at_start(self):
         settings = ControlSettings(operators=ListenSettings(host="0.0.0.0"))
         with self.assertRaises(SettingsError):
-            OperatorsApi(settings, self.service, self.control)
+            OperatorsApi(settings, self.service, self.control, LoopTimers())
