--- a/src/geraniumbend/admission/_levels.py
+++ b/src/geraniumbend/admission/_levels.py
@@ -7,7 +7,7 @@
 # Standard deviations that are taken off the estimate of demand, and how many more for
 # an estimate from few requests. A gateway that sees ten long requests in the window
 # would otherwise refuse some by chance; at a crest there are hundreds.
-SURE_DEVIATIONS = 1.0
+SURE_DEVIATIONS = 0.5
 FEW_REQUESTS = 20.0
 PERIOD_S = 0.1
 # Queue wait as a share of the deadline at which the level is lowered or may be
