--- a/tests/adapters/test_rpc.py
+++ b/tests/adapters/test_rpc.py
@@ -4,9 +4,13 @@
 import os
 import unittest
 
+import uvloop
+
+from geraniumbend.adapters._frames import FrameChannel
 from geraniumbend.adapters.rpc import RpcClient, RpcServer
 from geraniumbend.errors import NotLeaderError, UnavailableError
 from geraniumbend.keys import KeyRing
+from geraniumbend.wire import load_structs
 
 SECRET = b"0123456789abcdef"
 
@@ -46,6 +50,21 @@
             await self.client.call("follow", b"", 2)
         self.assertEqual(caught.exception.leader, "127.0.0.1:9")
 
+    async def test_cancellation_that_meets_the_answer_ends_the_call(self):
+        # A dropped cancellation keeps a process from ending.
+        answer = asyncio.get_running_loop().create_future()
+
+        async def exchange(*unused):
+            return await answer
+
+        self.client._exchange = exchange
+        calling = asyncio.ensure_future(self.client.call("echo", b"", 2))
+        await asyncio.sleep(0.01)
+        answer.set_result(load_structs().RpcMessage(call_id=1))
+        calling.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await calling
+
     async def test_slow_call_times_out_and_others_go_on(self):
         with self.assertRaises(UnavailableError):
             await self.client.call("hang", b"", 0.05)
@@ -98,6 +117,23 @@
         writer.close()
         self.assertEqual(self.server.counts.rejected, 1)
 
+    async def test_sending_on_a_closed_connection_is_a_connection_error(self):
+        # uvloop raised RuntimeError, which reached callers as status 500.
+        keys = KeyRing([(1, SECRET)])
+
+        async def send_after_close():
+            server = await asyncio.start_server(lambda *streams: None, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            streams = await asyncio.open_connection("127.0.0.1", port)
+            channel = FrameChannel(*streams, keys, is_client=True)
+            channel.close()
+            await asyncio.sleep(0.05)
+            with self.assertRaises(ConnectionError):
+                channel.send(b"x")
+            server.close()
+
+        await asyncio.to_thread(uvloop.run, send_after_close())
+
     async def test_absurd_frame_length_is_rejected(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
         writer.write(b"GBR1" + bytes(16) + b"\xff" * 13)
