--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -28,7 +28,6 @@
     from geraniumbend.membership import Announcement
     from geraniumbend.model import BackendServer, Configuration
     from geraniumbend.settings import Settings
-    from geraniumbend.timers import Subscription
 
 LOADS_PERIOD_S = 0.25
 ORDERS_POLL_S = 0.02
--- a/tests/adapters/test_rpc.py
+++ b/tests/adapters/test_rpc.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import unittest
 
 from geraniumbend.adapters.rpc import RpcClient, RpcServer
@@ -122,6 +123,22 @@
         writer.close()
         self.assertEqual(self.server.counts.rejected, 1)
 
+    async def test_any_bytes_close_their_connection_and_others_go_on(self):
+        rng = random.Random(1)
+        hello = b"GBR1" + bytes(16)
+        for number in range(60):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.server.port
+            )
+            head = hello if number % 2 else b""
+            writer.write(head + rng.randbytes(rng.randrange(200)))
+            writer.write_eof()
+            await asyncio.wait_for(reader.read(), 2)
+            writer.close()
+        self.assertEqual(await self.client.call("echo", b"x", 2), b"x")
+        self.assertEqual(self.server.counts.calls, 1)
+        self.assertGreater(self.server.counts.rejected, 20)
+
     async def _record_one_call(self):
         recorded = bytearray()
 
