--- a/bench/_cluster.py
+++ b/bench/_cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -16,15 +17,40 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
+PORTS = range(15_000, 32_000)
+PORT_TRIES = 500
 SECRET = "loopback-experiments-only"
 
+_reserved: set[int] = set()
+
 
 def reserve_port() -> int:
-    """Return a TCP port that was free at the time of the call."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        port: int = listener.getsockname()[1]
+    """Return a free TCP port that the system gives to no outgoing connection.
+
+    Ports from the system's own range may be taken by a connection of another process
+    before the process that they are meant for binds them.
+
+    Returns
+    -------
+    int
+        Port below the default range of outgoing connections.
+
+    Raises
+    ------
+    UnavailableError
+        If no port is free.
+    """
+    for port in random.sample(PORTS, PORT_TRIES):
+        if port in _reserved:
+            continue
+        with socket.socket() as listener:
+            try:
+                listener.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _reserved.add(port)
         return port
+    raise UnavailableError("no loopback port is free", "end other experiments first")
 
 
 class Process:
