Answer backend servers by the documented announcement API

Cause: the gateway's listener parsed announcements on its own beside membership.AnnouncementApi: it took unknown members and host names, did not list servers and ignored the incarnation of a DELETE. Change: the listener hands requests under /v1/backend-servers to the API; its own parser is gone. Stricter than before: host must be an IP address, incarnation is required, names have no slash. Conclusion: one parser; GET lists servers as the reference page says.

--- a/src/geraniumbend/adapters/_announce_listener.py
+++ b/src/geraniumbend/adapters/_announce_listener.py
@@ -1,28 +1,24 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Annotated, Any, Protocol
-from urllib.parse import unquote
+from typing import TYPE_CHECKING, Any, Protocol
 
-import msgspec
 from aiohttp import web
-from msgspec import Meta
 
 from geraniumbend.certificates import listener_certificates
 from geraniumbend.errors import GeraniumbendError, RefusedError
 from geraniumbend.logs import declare_event, log_event
-from geraniumbend.membership import Announcement
-from geraniumbend.model import BackendServer
 from geraniumbend.proxying import describe_refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from geraniumbend.settings import ListenSettings
 
-SERVERS_PATH = "/v1/backend-servers/"
+SERVERS_PATH = "/v1/backend-servers"
 BODY_LIMIT_BYTES = 64 * 1024
 IDLE_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 1.0
-Positive = Annotated[int, Meta(ge=1, le=1_000_000)]
 
 declare_event(
     230,
@@ -32,32 +28,24 @@
 )
 
 
-class AnnouncementDocument(msgspec.Struct):
-    """JSON document of an announcement; unknown members are ignored."""
+class Announcements(Protocol):
+    """Requests of backend servers; see `membership.AnnouncementApi`."""
 
-    host: Annotated[str, Meta(min_length=1, max_length=255)]
-    port: Annotated[int, Meta(ge=1, le=65535)]
-    failure_domain: Annotated[str, Meta(max_length=255)] = ""
-    labels: dict[str, str] = {}
-    slots: Positive = 1
-    connection_limit: Positive = 220
-    in_flight: Annotated[int, Meta(ge=0)] = 0
-    draining: bool = False
-    incarnation: Annotated[int, Meta(ge=0, lt=2**62)] = 0
-    lease_s: Annotated[float, Meta(gt=0, le=60)] = 10.0
+    def handle(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        query: Mapping[str, str] | None = None,
+        authorization: str | None = None,
+    ) -> tuple[int, dict[str, Any]]:
+        """Return status and JSON document of the answer."""
+        ...
 
 
 class AnnounceSource(Protocol):
     """What the listener serves and changes."""
 
-    def announce(self, announcement: Announcement) -> object:
-        """Take an announcement."""
-        ...
-
-    def depart(self, server_id: str) -> object:
-        """Deregister a backend server."""
-        ...
-
     def is_ready(self) -> bool:
         """Tell whether callers may send requests here."""
         ...
@@ -80,9 +68,17 @@
         Address and TLS.
     source : AnnounceSource
         Process that is described.
+    announcements : Announcements
+        Answers backend servers.
     """
 
-    def __init__(self, listen: ListenSettings, source: AnnounceSource) -> None:
+    def __init__(
+        self,
+        listen: ListenSettings,
+        source: AnnounceSource,
+        announcements: Announcements,
+    ) -> None:
+        self._announcements = announcements
         self.port = listen.port
         self._listen = listen
         self.certificates = listener_certificates(listen.tls)
@@ -127,15 +123,14 @@
     async def _dispatch(self, request: web.BaseRequest) -> web.Response:
         method, path = request.method, request.path
         if path.startswith(SERVERS_PATH):
-            server_id = unquote(path[len(SERVERS_PATH) :])
-            if not server_id or len(server_id) > 255:
-                raise RefusedError("server id is missing", status=404, kind="not_found")
-            if method == "PUT":
-                return await self._announce(server_id, request)
-            if method == "DELETE":
-                self._source.depart(server_id)
-                return _answer_json({})
-            raise RefusedError("use PUT or DELETE", status=405, kind="bad_method")
+            status, document = self._announcements.handle(
+                method,
+                path,
+                await _read_body(request),
+                request.query,
+                request.headers.get("Authorization"),
+            )
+            return _answer_json(document, status)
         if method not in ("GET", "HEAD"):
             raise RefusedError("use GET", status=405, kind="bad_method")
         if path == "/readyz":
@@ -152,31 +147,14 @@
             )
         raise RefusedError("there is nothing here", status=404, kind="not_found")
 
-    async def _announce(self, server_id: str, request: web.BaseRequest) -> web.Response:
-        body = b""
-        while data := await request.content.readany():
-            body += data
-            if len(body) > BODY_LIMIT_BYTES:
-                raise RefusedError("announcement is too long", status=413, kind="bad")
-        try:
-            document = msgspec.json.decode(body, type=AnnouncementDocument)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            raise RefusedError(
-                f"announcement is invalid: {error}",
-                "see the page on announcing backend servers",
-                status=400,
-                kind="bad_announcement",
-            ) from error
-        fields = {
-            name: getattr(document, name)
-            for name in BackendServer._fields
-            if hasattr(document, name)
-        }
-        server = BackendServer(**{**fields, "server_id": server_id})
-        self._source.announce(
-            Announcement(server, document.in_flight, document.lease_s)
-        )
-        return _answer_json({"lease_s": document.lease_s})
+
+async def _read_body(request: web.BaseRequest) -> bytes:
+    body = b""
+    while data := await request.content.readany():
+        body += data
+        if len(body) > BODY_LIMIT_BYTES:
+            raise RefusedError("announcement is too long", status=413, kind="bad")
+    return body
 
 
 def _answer_json(document: Any, status: int = 200) -> web.Response:
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -10,7 +10,7 @@
 from geraniumbend.certificates import client_certificates
 from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
 from geraniumbend.keys import KeyRing
-from geraniumbend.membership import Membership, Shares
+from geraniumbend.membership import AnnouncementApi, Membership, Shares
 from geraniumbend.metrics import MetricSet
 from geraniumbend.orders import OrderClient
 from geraniumbend.proxying import Proxy, ProxyParts
@@ -26,7 +26,6 @@
 from geraniumbend.timers import LoopTimers, Subscription
 
 if TYPE_CHECKING:
-    from geraniumbend.membership import Announcement
     from geraniumbend.model import BackendServer, Configuration
     from geraniumbend.settings import Settings
 
@@ -93,7 +92,9 @@
         )
         self._proxy = Proxy.from_config(settings, parts, self._create_observer())
         self._callers = HttpListener.from_config(gateway, self._proxy.handle)
-        self._announce = AnnounceListener(gateway.announce, self)
+        self._announce = AnnounceListener(
+            gateway.announce, self, AnnouncementApi(self._membership)
+        )
         self._loads: dict[str, float] = {}
         self._draining = False
         self._taking = Subscription()
@@ -156,14 +157,6 @@
         await self._clients.close()
         await self._rpc.stop()
 
-    def announce(self, announcement: Announcement) -> object:
-        """Take an announcement of a backend server."""
-        return self._membership.announce(announcement)
-
-    def depart(self, server_id: str) -> object:
-        """Deregister a backend server."""
-        return self._membership.depart(server_id)
-
     def is_ready(self) -> bool:
         """Tell whether callers may send requests here."""
         return self._started and not self._draining and self._follower.confirmed
--- a/tests/adapters/test_announce_listener.py
+++ b/tests/adapters/test_announce_listener.py
@@ -7,23 +7,33 @@
 
 from geraniumbend.adapters.announce_listener import AnnounceListener
 from geraniumbend.errors import UnavailableError
+from geraniumbend.membership import AnnouncementApi
 from geraniumbend.settings import ListenSettings
 
+GOOD = {"host": "10.0.0.1", "port": 80, "incarnation": 1}
+GOOD_BODY = json.dumps(GOOD)
 
-class FakeSource:
+
+class FakeMembership:
     def __init__(self):
         self.announced = []
         self.departed = []
-        self.ready = True
         self.broken = None
 
     def announce(self, announcement):
         if self.broken:
             raise self.broken
         self.announced.append(announcement)
+        return True
+
+    def depart(self, server_id, incarnation):
+        self.departed.append((server_id, incarnation))
+        return True
 
-    def depart(self, server_id):
-        self.departed.append(server_id)
+
+class FakeSource:
+    def __init__(self):
+        self.ready = True
 
     def is_ready(self):
         return self.ready
@@ -38,7 +48,9 @@
 class AnnounceListenerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.source = FakeSource()
-        self.listener = AnnounceListener(ListenSettings(), self.source)
+        self.membership = FakeMembership()
+        announcements = AnnouncementApi(self.membership)
+        self.listener = AnnounceListener(ListenSettings(), self.source, announcements)
         await self.listener.start()
         self.session = aiohttp.ClientSession(f"http://127.0.0.1:{self.listener.port}")
 
@@ -51,38 +63,41 @@
             return answer.status, await answer.read()
 
     async def test_announcement_is_taken_with_its_defaults(self):
-        body = json.dumps({"host": "10.0.0.1", "port": 80, "labels": {"a": "b"}})
-        status, _ = await self.call("PUT", "/v1/backend-servers/s%2F1", body)
+        body = json.dumps({**GOOD, "labels": {"a": "b"}})
+        status, answer = await self.call("PUT", "/v1/backend-servers/s%201", body)
         self.assertEqual(status, 200)
-        server = self.source.announced[0].server
-        self.assertEqual((server.server_id, server.port), ("s/1", 80))
+        self.assertGreater(json.loads(answer)["renew_after_s"], 0)
+        server = self.membership.announced[0].server
+        self.assertEqual((server.server_id, server.port), ("s 1", 80))
         self.assertEqual((server.slots, server.connection_limit), (1, 220))
 
     async def test_malformed_announcements_are_refused_and_change_nothing(self):
-        good = {"host": "h", "port": 80}
         for body in (
             "",
             "[]",
             "{",
             b"\xff",
-            json.dumps({"host": "h"}),
-            json.dumps({**good, "port": 0}),
-            json.dumps({**good, "slots": -1}),
-            json.dumps({**good, "labels": {"a": 1}}),
-            json.dumps({**good, "lease_s": 1e9}),
-            json.dumps({**good, "incarnation": 2**63}),
-            json.dumps({**good, "labels": {"a": "x" * 70_000}}),
+            json.dumps({"host": "10.0.0.1"}),
+            json.dumps({**GOOD, "host": "name.example"}),
+            json.dumps({**GOOD, "unknown": 1}),
+            json.dumps({**GOOD, "port": 0}),
+            json.dumps({**GOOD, "slots": -1}),
+            json.dumps({**GOOD, "labels": {"a": 1}}),
+            json.dumps({**GOOD, "lease_s": 1e9}),
+            json.dumps({**GOOD, "incarnation": 2**63}),
+            json.dumps({**GOOD, "labels": {"a": "x" * 70_000}}),
         ):
             status, answer = await self.call("PUT", "/v1/backend-servers/s", body)
             self.assertIn(status, (400, 413), answer)
-            self.assertEqual(json.loads(answer)["run"], "not_run")
-        self.assertEqual(self.source.announced, [])
+            self.assertTrue(json.loads(answer))
+        status, _ = await self.call("PUT", "/v1/backend-servers/s%2F1", GOOD_BODY)
+        self.assertEqual(status, 400)
+        self.assertEqual(self.membership.announced, [])
 
     async def test_typed_and_untyped_errors_become_statuses(self):
-        body = json.dumps({"host": "h", "port": 80})
         for error, status in ((UnavailableError("no"), 503), (ValueError(), 500)):
-            self.source.broken = error
-            got, _ = await self.call("PUT", "/v1/backend-servers/s", body)
+            self.membership.broken = error
+            got, _ = await self.call("PUT", "/v1/backend-servers/s", GOOD_BODY)
             self.assertEqual(got, status)
 
     async def test_readiness_health_state_and_metrics(self):
@@ -92,8 +107,9 @@
         self.assertEqual((await self.call("GET", "/healthz"))[0], 200)
         self.assertEqual(await self.call("GET", "/state"), (200, b'{"state": 1}'))
         self.assertEqual(await self.call("GET", "/metrics"), (200, b"metric 1\n"))
-        self.assertEqual((await self.call("DELETE", "/v1/backend-servers/s"))[0], 200)
-        self.assertEqual(self.source.departed, ["s"])
+        path = "/v1/backend-servers/s?incarnation=7"
+        self.assertEqual((await self.call("DELETE", path))[0], 200)
+        self.assertEqual(self.membership.departed, [("s", 7)])
         self.assertEqual((await self.call("POST", "/v1/backend-servers/s"))[0], 405)
         self.assertEqual((await self.call("POST", "/readyz"))[0], 405)
         self.assertEqual((await self.call("GET", "/nothing"))[0], 404)
--- a/tests/roles/test_gateway.py
+++ b/tests/roles/test_gateway.py
@@ -50,6 +50,7 @@
     async def announce(self, **fields):
         url = f"{self.announces}/v1/backend-servers/b"
         document = {"host": "127.0.0.1", "port": self.backend.port, "slots": 4}
+        document["incarnation"] = 1
         document |= {"labels": {"app": "x"}, **fields}
         async with self.session.put(url, data=json.dumps(document)) as answer:
             self.assertEqual(answer.status, 200)
--- a/tests/roles/test_gateway_tls.py
+++ b/tests/roles/test_gateway_tls.py
@@ -11,6 +11,7 @@
 from geraniumbend.adapters.announce_listener import AnnounceListener
 from geraniumbend.adapters.http_listener import HttpListener
 from geraniumbend.errors import RefusedError
+from geraniumbend.membership import AnnouncementApi
 from geraniumbend.settings import ListenSettings
 from tests.test_certificates import write_certificate
 
@@ -54,7 +55,7 @@
             await listener.stop(0.1)
 
     async def test_announce_listener(self):
-        listener = AnnounceListener(self.listen, FakeSource())
+        listener = AnnounceListener(self.listen, FakeSource(), AnnouncementApi(None))
         await listener.start()
         try:
             await self.check(listener.port, 200)
