--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = PYTHONPATH=src:. PYTHONHASHSEED=0 $(VENV)/bin/python
 PATHS = src tests bench tools
 
-.PHONY: golden demo test lint format types bench binary test-binary fuzz docs
+.PHONY: check golden demo test lint format types bench binary test-binary fuzz docs
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -26,7 +26,9 @@
 	$(VENV)/bin/ruff check --fix --quiet $(PATHS) || true
 	$(VENV)/bin/ruff format $(PATHS)
 
-test: lint types
+test: check test-binary
+
+check: lint types
 	$(RUN) -m nose2 -v -s tests -t .
 
 bench: $(VENV)/.installed
@@ -36,7 +38,7 @@
 	$(RUN) tools/binary.py
 
 test-binary: binary
-	GERANIUMBEND_PROGRAM=dist/geraniumbend $(RUN) -m nose2 -v tests.tools.test_binary_program
+	GERANIUMBEND_PROGRAM=dist/geraniumbend $(RUN) -m nose2 -v -s tests -t . tests.tools.binary_program
 
 docs: $(VENV)/.installed
 	$(RUN) tools/reference.py
--- a/tests/tools/test_binary_program.py
+++ b/tests/tools/binary_program.py
@@ -13,10 +13,9 @@
 
 from bench._cluster import Cluster
 
-PROGRAM = Path(os.environ.get("GERANIUMBEND_PROGRAM", ""))
+PROGRAM = Path(os.environ["GERANIUMBEND_PROGRAM"])
 
 
-@unittest.skipUnless(os.environ.get("GERANIUMBEND_PROGRAM"), "run by make test-binary")
 class BinaryProgramTest(unittest.TestCase):
     def setUp(self):
         self.cache = tempfile.TemporaryDirectory()
