--- /dev/null
+++ b/tests/cli/test_operations.py
@@ -0,0 +1,55 @@
+from __future__ import annotations
+
+import json
+import unittest
+
+from bench._cluster import Cluster
+
+CONFIGURATION = """\
+[groups.a]
+selector = "app=a"
+[rules.r]
+group = "a"
+match = { path_prefix = "/" }
+"""
+
+
+class OperationsTest(unittest.IsolatedAsyncioTestCase):
+    """Commands that the pages for operators name, against real processes."""
+
+    async def start(self, gateways, controls):
+        cluster = Cluster(gateways, controls)
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start()
+        return cluster
+
+    async def operate(self, cluster, *arguments, code=0):
+        got, output = await cluster.operate(*arguments)
+        self.assertEqual(got, code, f"{arguments}: {output}")
+        return output
+
+    async def test_backup_restores_into_an_empty_cluster_only_and_as_newer(self):
+        old = await self.start(gateways=0, controls=3)
+        file = old.folder / "a.toml"
+        file.write_text(CONFIGURATION)
+        await self.operate(old, "apply", str(file))
+        backup = str(old.folder / "backup.json")
+        await self.operate(old, "backup", backup)
+        await self.operate(old, "label", "s1", "wave=2")
+        await self.operate(old, "restore", backup, code=5)
+        new = await self.start(gateways=1, controls=1)
+        await self.operate(new, "restore", backup)
+        await new.wait_until_ready()
+        groups = await self.operate(new, "list", "groups", "--output", "json")
+        self.assertEqual([group["name"] for group in json.loads(groups)], ["a"])
+        history = await self.operate(new, "history", "--output", "json")
+        self.assertGreater(json.loads(history)[0]["revision"], 2)
+
+    async def test_members_are_listed_and_a_lost_majority_is_refused(self):
+        cluster = await self.start(gateways=0, controls=3)
+        await cluster.controls[2].kill()
+        members = json.loads(
+            await self.operate(cluster, "member", "list", "--output", "json")
+        )
+        self.assertEqual(set(members["logs"]), {"config", "orders-0"})
+        await self.operate(cluster, "member", "remove", "control-1", code=5)
