Run all property tests long and with random seeds by make fuzz

Cause: the property tests were derandomised only; each file had settings of its own. Change: tests/fuzzing.py holds the settings; make fuzz multiplies the examples, prints the seed and takes it back with SEED.

--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,10 @@
 
 golden: $(VENV)/.installed
 	GERANIUMBEND_WRITE_GOLDEN=1 $(RUN) -m nose2 -v -s tests -t . tests.golden
+
+# FACTOR times as many examples as in CI, with the seed SEED or a new one.
+fuzz: $(VENV)/.installed
+	@seed=$${SEED:-$$($(VENV)/bin/python -c "import secrets; print(secrets.randbelow(2**32))")}; \
+	echo "fuzz seed $$seed, repeat with: make fuzz SEED=$$seed"; \
+	GERANIUMBEND_FUZZ=$${FACTOR:-20} GERANIUMBEND_FUZZ_SEED=$$seed \
+	$(RUN) -m nose2 -s tests -t . $$(grep -rl "tests.fuzzing" tests | grep -v fuzzing.py | sed 's/\.py$$//; s/\//./g')
--- a/tests/adapters/test_datagram.py
+++ b/tests/adapters/test_datagram.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from geraniumbend.adapters._datagram_frames import DATA, WINDOW, DatagramFrames
@@ -11,6 +11,7 @@
 from geraniumbend.adapters.rpc import RpcClient, RpcServer
 from geraniumbend.errors import GeraniumbendError, ProtocolError, SettingsError
 from geraniumbend.keys import KeyRing
+from tests.fuzzing import fuzz
 
 OLD, NEW = (1, b"0123456789abcdef"), (2, b"fedcba9876543210")
 
@@ -60,7 +61,7 @@
             self.assert_refused(bytes(damaged))
 
     def test_any_bytes_are_refused(self):
-        @settings(derandomize=True, max_examples=300)
+        @fuzz(max_examples=300)
         @given(st.binary(max_size=200) | st.binary(max_size=90).map(b"GBU1".__add__))
         def check(data):
             self.assert_refused(data)
@@ -68,7 +69,7 @@
         check()
 
     def test_window_agrees_with_a_set_of_seen_numbers(self):
-        @settings(derandomize=True, max_examples=100)
+        @fuzz(max_examples=100)
         @given(st.lists(st.integers(0, 2 * WINDOW), min_size=1, max_size=80))
         def check(order):
             sender = DatagramFrames("a", KeyRing([OLD]), boot=100)
--- a/tests/adapters/test_listener_fuzz.py
+++ b/tests/adapters/test_listener_fuzz.py
@@ -4,11 +4,12 @@
 import json
 import unittest
 
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, given
 from hypothesis import strategies as st
 
 from geraniumbend.adapters.http_listener import HttpListener, Limits
 from geraniumbend.settings import ListenSettings
+from tests.fuzzing import fuzz
 
 METHODS = st.sampled_from([b"GET", b"POST", b"HEAD", b"PUT", b"get", b"G\0T", b""])
 TARGETS = st.sampled_from(
@@ -107,10 +108,8 @@
         await request.start_answer(200, "OK", lines, len(body))
         request.finish_answer(body)
 
-    @settings(
+    @fuzz(
         max_examples=150,
-        deadline=None,
-        derandomize=True,
         suppress_health_check=list(HealthCheck),
     )
     @given(st.lists(requests(), min_size=1, max_size=3), st.integers(20, 400))
--- a/tests/adapters/test_pool_fuzz.py
+++ b/tests/adapters/test_pool_fuzz.py
@@ -4,7 +4,7 @@
 import itertools
 from collections import Counter
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -12,6 +12,7 @@
 from geraniumbend.proxying import UpstreamError
 from geraniumbend.timers import LoopTimers
 from tests.adapters._backend import ScriptedBackend, make_request, read_all
+from tests.fuzzing import fuzz
 
 ANSWERED = ("ok", "last", "stray", "early")
 FAILING = ("drop", "part", "junk")
@@ -166,11 +167,9 @@
             raise AssertionError("an answer where an error was due")
 
 
-PoolMachine.TestCase.settings = settings(
+PoolMachine.TestCase.settings = fuzz(
     max_examples=25,
     stateful_step_count=20,
-    deadline=None,
-    derandomize=True,
     suppress_health_check=list(HealthCheck),
 )
 PoolFuzzTest = PoolMachine.TestCase
--- a/tests/admission/test_admission_fuzz.py
+++ b/tests/admission/test_admission_fuzz.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -13,6 +12,7 @@
 from geraniumbend.routing import ServerTable
 from geraniumbend.timers import ManualTimers
 from tests.fakes import FakeShares, build_configuration, build_servers
+from tests.fuzzing import fuzz
 
 SERVICE_S = 0.2
 QUEUE_LIMIT = 6
@@ -122,6 +122,4 @@
 
 
 class AdmissionFuzzTest(AdmissionMachine.TestCase):
-    settings = settings(
-        derandomize=True, max_examples=60, stateful_step_count=30, deadline=None
-    )
+    settings = fuzz(max_examples=60, stateful_step_count=30)
--- a/tests/configuration/test_store_fuzz.py
+++ b/tests/configuration/test_store_fuzz.py
@@ -3,7 +3,6 @@
 import unittest
 import uuid
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
@@ -18,6 +17,7 @@
 from geraniumbend.configuration._operations import encode_operations
 from geraniumbend.model import Group, Rule
 from geraniumbend.wire import decode, encode, load_structs
+from tests.fuzzing import fuzz
 
 NAMES = st.sampled_from(["a", "b", "c"])
 OPERATIONS = st.one_of(
@@ -140,6 +140,4 @@
 class RacingOperatorsTest(RacingOperators.TestCase, unittest.TestCase):
     """Guards against a lost or doubled change and against replicas that diverge."""
 
-    settings = settings(
-        derandomize=True, max_examples=60, stateful_step_count=30, deadline=None
-    )
+    settings = fuzz(max_examples=60, stateful_step_count=30)
--- a/tests/membership/test_announcements.py
+++ b/tests/membership/test_announcements.py
@@ -3,11 +3,12 @@
 import json
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from geraniumbend.errors import AuthenticationError
 from geraniumbend.membership import AnnouncementApi
+from tests.fuzzing import fuzz
 from tests.membership.network import Cluster
 
 PATH = "/v1/backend-servers/s1"
@@ -86,7 +87,7 @@
         )
         names = st.text(max_size=130)
 
-        @settings(derandomize=True, max_examples=300, deadline=None)
+        @fuzz(max_examples=300)
         @given(st.sampled_from(["PUT", "DELETE", "GET", "X"]), names, bodies, names)
         def check(method, name, body, incarnation):
             path = f"/v1/backend-servers/{name}"
--- a/tests/membership/test_fuzz.py
+++ b/tests/membership/test_fuzz.py
@@ -4,10 +4,11 @@
 import logging
 import unittest
 
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, given
 from hypothesis import strategies as st
 
 from geraniumbend.errors import ConflictError
+from tests.fuzzing import fuzz
 from tests.membership.network import Cluster, announcement
 
 NAMES = ("g0", "g1", "g2", "g3")
@@ -131,10 +132,8 @@
         self.addCleanup(logging.disable, logging.NOTSET)
 
     def test_faults_in_any_order_end_in_agreement_with_the_oracle(self):
-        @settings(
-            derandomize=True,
+        @fuzz(
             max_examples=25,
-            deadline=None,
             suppress_health_check=list(HealthCheck),
         )
         @given(st.lists(steps, min_size=3, max_size=14))
--- a/tests/membership/test_records.py
+++ b/tests/membership/test_records.py
@@ -5,13 +5,14 @@
 import random
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from geraniumbend.errors import ProtocolError
 from geraniumbend.membership import Shares
 from geraniumbend.membership._records import unpack_records
 from geraniumbend.wire import decode, load_structs
+from tests.fuzzing import fuzz
 from tests.membership.network import Cluster
 
 
@@ -168,7 +169,7 @@
         await cluster.timers.advance(3.0)
         rng = random.Random(1)
 
-        @settings(derandomize=True, max_examples=300, deadline=None)
+        @fuzz(max_examples=300)
         @given(st.binary(max_size=300))
         def any_bytes(data):
             port.callback("10.9.9.9:1", data)
@@ -186,7 +187,7 @@
     def test_any_digest_message_is_read_or_a_typed_error(self):
         structs = load_structs("membership")
 
-        @settings(derandomize=True, max_examples=300, deadline=None)
+        @fuzz(max_examples=300)
         @given(st.binary(max_size=200))
         def check(data):
             for kind in (structs.DigestRequest, structs.ExchangeMessage):
--- a/tests/orders/test_journal_fuzz.py
+++ b/tests/orders/test_journal_fuzz.py
@@ -2,12 +2,12 @@
 
 import unittest
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from geraniumbend.orders import OrderJournal
 from geraniumbend.wire import decode, encode, load_structs
+from tests.fuzzing import fuzz
 
 LEASE_MS = 5_000
 KEYS = st.sampled_from(["k1", "k2"])
@@ -154,6 +154,4 @@
 class GatewaysTest(Gateways.TestCase, unittest.TestCase):
     """Guards against orders that run twice, blocked keys and foreign answers."""
 
-    settings = settings(
-        derandomize=True, max_examples=150, stateful_step_count=30, deadline=None
-    )
+    settings = fuzz(max_examples=150, stateful_step_count=30)
--- a/tests/quarantine/test_quarantine_fuzz.py
+++ b/tests/quarantine/test_quarantine_fuzz.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -12,6 +11,7 @@
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.timers import ManualTimers
 from tests.fakes import FakeBus, build_servers
+from tests.fuzzing import fuzz
 
 GATEWAYS = st.integers(0, 2)
 SERVERS = st.integers(0, 4)
@@ -128,6 +128,4 @@
 
 
 class QuarantineFuzzTest(QuarantineMachine.TestCase):
-    settings = settings(
-        derandomize=True, max_examples=60, stateful_step_count=25, deadline=None
-    )
+    settings = fuzz(max_examples=60, stateful_step_count=25)
--- a/tests/replication/test_fuzz.py
+++ b/tests/replication/test_fuzz.py
@@ -1,13 +1,12 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import unittest
 from contextlib import suppress
 from itertools import pairwise
 from unittest.mock import patch
 
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import HealthCheck, Phase
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -20,10 +19,10 @@
 
 from geraniumbend.errors import GeraniumbendError, StorageError
 from geraniumbend.replication import _core
+from tests.fuzzing import fuzz
 from tests.replication.cluster import Cluster
 from tests.replication.fakes import MemoryDisk
 
-EXAMPLES = int(os.environ.get("GERANIUMBEND_FUZZ_EXAMPLES", "0"))
 NODES = st.sampled_from(["n1", "n2", "n3"])
 # n4 and n5 are started empty when they are first added.
 ALL_NODES = st.sampled_from(["n1", "n2", "n3", "n4", "n5"])
@@ -257,12 +256,10 @@
     def test_no_acknowledged_command_is_lost_under_random_faults(self):
         run_state_machine_as_test(
             LogMachine,
-            settings=settings(
-                max_examples=EXAMPLES or 30,
+            settings=fuzz(
+                max_examples=30,
                 stateful_step_count=40,
-                derandomize=not EXAMPLES,
                 database=None,
-                deadline=None,
                 # Shrinking replays whole sessions and takes minutes.
                 phases=[Phase.generate],
                 suppress_health_check=list(HealthCheck),
--- a/tests/routing/test_matching.py
+++ b/tests/routing/test_matching.py
@@ -2,12 +2,13 @@
 
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from geraniumbend.model import Configuration, Rule, RuleMatch
 from geraniumbend.routing import RequestFacts, RuleTable
 from geraniumbend.routing._matching import _compile
+from tests.fuzzing import fuzz
 
 
 def find(rules, path="/", host="h", method="GET", headers=None):
@@ -58,7 +59,7 @@
 
 
 class RuleIndexTest(unittest.TestCase):
-    @settings(derandomize=True, max_examples=400, deadline=None)
+    @fuzz(max_examples=400)
     @given(
         st.lists(st.tuples(MATCHES, st.integers(0, 2)), max_size=6),
         PATHS,
--- a/tests/routing/test_probes.py
+++ b/tests/routing/test_probes.py
@@ -4,7 +4,6 @@
 
 import unittest
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -12,6 +11,7 @@
 from geraniumbend.routing import ProbeScheduler, ServerTable
 from geraniumbend.timers import ManualTimers
 from tests.fakes import FakeShares, StepTimers, build_servers
+from tests.fuzzing import fuzz
 
 PROBE_S = 0.007
 WINDOW_S = 10.0
@@ -90,9 +90,7 @@
 
 
 class ProbeBudgetFuzzTest(ProbeMachine.TestCase):
-    settings = settings(
-        derandomize=True, max_examples=25, stateful_step_count=12, deadline=None
-    )
+    settings = fuzz(max_examples=25, stateful_step_count=12)
 
 
 class ProbeSchedulerTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/routing/test_selector_index.py
+++ b/tests/routing/test_selector_index.py
@@ -2,11 +2,12 @@
 
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from geraniumbend.routing import parse_selector
 from geraniumbend.routing._selector_index import SelectorIndex
+from tests.fuzzing import fuzz
 
 TERMS = st.sampled_from(
     ["app=a", "app in (a,b)", "app!=a", "tier=x", "tier in (x,y)", "tier", "!tier", ""]
@@ -16,7 +17,7 @@
 
 
 class SelectorIndexTest(unittest.TestCase):
-    @settings(derandomize=True, max_examples=200, deadline=None)
+    @fuzz(max_examples=200)
     @given(st.lists(SELECTORS, max_size=5), st.lists(SELECTORS, max_size=5), LABELS)
     def test_no_matching_group_is_left_out_after_selectors_were_replaced(
         self, first, second, labels
--- a/tests/routing/test_table_fuzz.py
+++ b/tests/routing/test_table_fuzz.py
@@ -2,12 +2,13 @@
 
 import unittest
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from geraniumbend.model import BackendServer, Configuration, Group
 from geraniumbend.routing import ServerTable
 from geraniumbend.timers import ManualTimers
+from tests.fuzzing import fuzz
 
 LABELS = st.dictionaries(
     st.sampled_from(["app", "tier"]), st.sampled_from(["a", "b"]), max_size=2
@@ -52,7 +53,7 @@
 
 
 class ServerTableUpdateTest(unittest.TestCase):
-    @settings(derandomize=True, max_examples=300, deadline=None)
+    @fuzz(max_examples=300)
     @given(STEPS)
     def test_updates_in_steps_give_what_one_fresh_table_gives(self, steps):
         table = ServerTable(ManualTimers())
