Do not wait for hosts without power when a process starts

Cause: after a power loss control hosts and gateways asked seeds and control hosts one after the other and waited a second for each that was still dark; two control hosts listened 1.3 s after the power was back.

--- a/src/geraniumbend/configuration/_follower.py
+++ b/src/geraniumbend/configuration/_follower.py
@@ -36,6 +36,9 @@
 LAST_BACKOFF_S = 1.0
 # A process that starts learns of the control hosts within some tenths of a second.
 SEARCH_PERIOD_S = 0.05
+# A process that starts asks a further control host after this time in seconds without
+# an answer; a host without power never answers.
+STAGGER_S = 0.15
 
 declare_event(
     600, "configuration_installed", "info", "A newer configuration is in use."
@@ -138,13 +141,8 @@
         }
 
     async def _follow(self) -> None:
-        while True:
-            self._update_hosts()
-            if not self._order:
-                if self._find_hosts is None:
-                    return
-                await self._timers.sleep(SEARCH_PERIOD_S)
-                continue
+        await self._confirm()
+        while await self._find():
             self.host = self._choose()
             try:
                 await self._poll(self.host)
@@ -153,6 +151,49 @@
                 self._note_failure(self.host, error)
                 await self._timers.sleep(self._backoff_s())
 
+    async def _confirm(self) -> None:
+        """Get a first configuration from whichever control host answers first."""
+        polls: dict[asyncio.Future[None], str] = {}
+        try:
+            while not self.confirmed and await self._find():
+                idle = [host for host in self._order if host not in polls.values()]
+                if idle:
+                    host = self._choose(idle)
+                    polls[asyncio.ensure_future(self._poll(host))] = host
+                await self._wait_for_any(polls)
+                failed = [poll for poll in polls if poll.done() and poll.exception()]
+                for poll in failed:
+                    error = poll.exception()
+                    if not isinstance(error, GeraniumbendError):
+                        poll.result()
+                        continue
+                    self._note_failure(polls.pop(poll), error)
+                if failed:
+                    await self._timers.sleep(self._backoff_s())
+        finally:
+            for poll, host in polls.items():
+                if not poll.done():
+                    self._failed.add(host)
+                    poll.cancel()
+        self._failures = 0
+
+    async def _wait_for_any(self, polls: Iterable[asyncio.Future[None]]) -> None:
+        pause = asyncio.ensure_future(self._timers.sleep(STAGGER_S))
+        try:
+            await asyncio.wait({*polls, pause}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            pause.cancel()
+
+    async def _find(self) -> bool:
+        """Wait until a control host is known; False if none ever will be."""
+        while True:
+            self._update_hosts()
+            if self._order:
+                return True
+            if self._find_hosts is None:
+                return False
+            await self._timers.sleep(SEARCH_PERIOD_S)
+
     def _update_hosts(self) -> None:
         if self._find_hosts is None:
             return
@@ -169,12 +210,14 @@
 
         return sorted(hosts, key=digest)
 
-    def _choose(self) -> str:
-        for host in self._order:
+    def _choose(self, hosts: list[str] | None = None) -> str:
+        """Return the first host that has not failed, or the first one anew."""
+        hosts = self._order if hosts is None else hosts
+        for host in hosts:
             if host not in self._failed:
                 return host
         self._failed.clear()
-        return self._order[0]
+        return hosts[0]
 
     def _note_failure(self, host: str, error: GeraniumbendError) -> None:
         self._failures += 1
@@ -195,7 +238,8 @@
         if not self.confirmed:
             wait_s = 0.0
         margin_s = ANSWER_MARGIN_S if self.confirmed else CONFIRM_MARGIN_S
-        self._take(await self._ask(host, wait_s, wait_s + margin_s))
+        response = await self._ask(host, wait_s, wait_s + margin_s)
+        self._take(response, host)
 
     async def _ask(self, host: str, wait_s: float, timeout_s: float) -> Any:
         structs = load_structs("configuration")
@@ -210,7 +254,7 @@
         )
         return decode(structs.PollResponse, body)
 
-    def _take(self, response: Any) -> None:
+    def _take(self, response: Any, host: str) -> None:
         current = self._view.current
         if response.revision < current.revision:
             raise UnavailableError(
@@ -237,7 +281,7 @@
                 revision=current.revision,
                 version=current.version,
                 rules=len(current.rules),
-                host=self.host,
+                host=host,
             )
 
     async def _probe(self) -> None:
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -8,6 +8,7 @@
 from geraniumbend.membership._budget import ByteBudget
 from geraniumbend.membership._detector import Detector
 from geraniumbend.membership._gossip import GOSSIP, Gossip
+from geraniumbend.membership._joining import Joining
 from geraniumbend.membership._members import LEFT, Member, MemberTable
 from geraniumbend.membership._notices import Notices
 from geraniumbend.membership._pauses import PauseRecovery
@@ -38,8 +39,9 @@
 TICK_S = 0.25
 ANTI_ENTROPY_S = 5.0
 ANTI_ENTROPY_SOON_S = 0.7
-JOIN_PERIOD_S = 0.5
-JOIN_ATTEMPTS = 20
+# Longest wait of a start for an answer of a seed, in seconds; the others of a cluster
+# that was lost as a whole may be back later.
+JOIN_PATIENCE_S = 0.4
 SECOND_LOOKS_S = (0.5, 1.5)
 # Above this size loads and demand stay within a failure domain.
 DOMAIN_SCOPE_NODES = 64
@@ -143,6 +145,7 @@
             self._outgoing,
             self._drop,
         )
+        self._joining = Joining(self._sync, timers, self._rng)
         self._pauses = PauseRecovery(
             self._members,
             self._detector,
@@ -226,7 +229,10 @@
         self._sync.register(server)
 
     async def start(self) -> None:
-        """Open the socket and join the cluster through the seeds."""
+        """Open the socket and join the cluster through the seeds.
+
+        Returns after `JOIN_PATIENCE_S` also when no seed has answered; joining goes on.
+        """
         if self._server is not None and getattr(self._port, "port", None) == 0:
             self._port.port = self._server.port  # type: ignore[attr-defined]
         await self._port.start()
@@ -245,11 +251,7 @@
             every(ANTI_ENTROPY_S, self._seek_lost_members, 0.4),
         ]
         seeds = [seed for seed in self._options.seeds if seed != address]
-        self._rng.shuffle(seeds)
-        if seeds and not await self._sync.run(seeds, replace=True, budgeted=False):
-            self._subscriptions.append(
-                self._timers.after(0.0, lambda: self._join_again(seeds))
-            )
+        await self._joining.start(seeds, JOIN_PATIENCE_S)
         # Nodes that start at the same time are unknown to the seed at first.
         for delay_s in SECOND_LOOKS_S:
             again = self._timers.after(delay_s, self._run_anti_entropy)
@@ -263,6 +265,7 @@
         for _, address in chosen:
             self._gossip.send(GOSSIP, address, records=[record])
         self._pauses.stop()
+        self._joining.stop()
         for subscription in self._subscriptions:
             subscription.cancel()
         self._gossip.stop()
@@ -270,6 +273,11 @@
         self._sync.answering = False
         await self._port.stop()
 
+    @property
+    def joined(self) -> bool:
+        """Whether a seed has told this process about the cluster."""
+        return self._joining.joined
+
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Use other peer addresses to find lost members."""
         self._options = self._options._replace(seeds=tuple(seeds))
@@ -509,13 +517,6 @@
         self._view.tick()
         self._published.set_scope(len(self._peers(next(iter(EPHEMERAL)))) + 1)
 
-    async def _join_again(self, seeds: list[str]) -> None:
-        """Ask the seeds more often at first; they may be busy or start later."""
-        for _ in range(JOIN_ATTEMPTS):
-            await self._timers.sleep(JOIN_PERIOD_S * self._rng.uniform(0.5, 1.5))
-            if await self._sync.run(list(seeds), replace=True, budgeted=False):
-                return
-
     async def _run_anti_entropy(self) -> None:
         if not self._pauses.check() or self._pauses.recovering:
             return
--- a/src/geraniumbend/membership/_sync.py
+++ b/src/geraniumbend/membership/_sync.py
@@ -106,7 +106,8 @@
             Whether foreign records that a peer does not confirm are dropped
             instead of sent.
         budgeted : bool, default=True
-            Whether to stop while the byte budget is used up.
+            Whether to stop while the byte budget is used up. A process that joins does
+            not, and spreads nothing that it learns, since the others know it.
 
         Returns
         -------
@@ -120,7 +121,7 @@
                 break
             address = usable[done % len(usable)]
             try:
-                more = await self._round(address, replace)
+                more = await self._round(address, replace, replace or not budgeted)
             except GeraniumbendError as error:
                 log_event(815, peer=address, error=str(error))
                 usable.remove(address)
@@ -130,7 +131,7 @@
                 break
         return done
 
-    async def _round(self, address: str, replace: bool) -> bool:
+    async def _round(self, address: str, replace: bool, quiet: bool) -> bool:
         structs = load_structs("membership")
         own = self._table.get(MEMBER, "", self._node)
         members = [] if own is None else [pack_record(own.record)]
@@ -158,11 +159,11 @@
         if not wanted and not pushed:
             return False
         self.moved += len(wanted) + len(pushed)
-        await self._exchange(address, wanted, pushed[:MAX_PAIRS], replace)
+        await self._exchange(address, wanted, pushed[:MAX_PAIRS], quiet)
         return not response.complete or len(pushed) > MAX_PAIRS
 
     async def _exchange(
-        self, address: str, wanted: list[int], pushed: list[Record], replace: bool
+        self, address: str, wanted: list[int], pushed: list[Record], quiet: bool
     ) -> None:
         structs = load_structs("membership")
         message = structs.ExchangeMessage(
@@ -171,12 +172,12 @@
         )
         body = await self._call(address, EXCHANGE_METHOD, encode(message))
         answer = decode(structs.ExchangeMessage, body)
-        self._merge_all(address, unpack_records(answer.records), replace)
+        self._merge_all(address, unpack_records(answer.records), quiet)
 
-    def _merge_all(self, sender: str, records: list[Record], joining: bool) -> None:
+    def _merge_all(self, sender: str, records: list[Record], quiet: bool) -> None:
         # What a joining node learns is not new to the others. A large difference, as
         # after a partition, travels by anti-entropy, which sends a record once a pair.
-        with self._gossip.mute(joining or len(records) > MAX_SPREAD):
+        with self._gossip.mute(quiet or len(records) > MAX_SPREAD):
             for record in records:
                 self._merge(sender, record)
 
@@ -222,7 +223,7 @@
         if len(wanted) % 8 or len(wanted) > 64 * MAX_PAIRS:
             raise ProtocolError("exchange names too many records")
         self._check_answering()
-        self._merge_all("", unpack_records(message.records), joining=False)
+        self._merge_all("", unpack_records(message.records), quiet=False)
         hashes = struct.unpack(f"!{len(wanted) // 8}Q", wanted)
         entries = [self._table.by_hash(key_hash) for key_hash in hashes]
         records = [entry.record for entry in entries if entry is not None]
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -37,6 +37,9 @@
 LOADS_PERIOD_S = 0.25
 ORDERS_POLL_S = 0.02
 OPEN_PERIOD_S = 0.02
+# A gateway that no seed has told about backend servers listens after this time in
+# seconds all the same, since its refusals send callers to others.
+SERVERS_PATIENCE_S = 1.5
 
 
 class Gateway:
@@ -113,6 +116,7 @@
         )
         self._load_probe = LoadProbe(self._upstream, timers, dialect)
         self._loads: dict[str, float] = {}
+        self._started_at = timers.now()
         self._draining = False
         self._taking = Subscription()
         self._started = False
@@ -206,11 +210,13 @@
         return self._metrics.render()
 
     async def _open(self) -> None:
-        """Listen for callers once there is a configuration to answer them by.
+        """Listen for callers once configuration and backend servers are known.
 
         A gateway that listens earlier answers 404 because it knows no rule yet.
         """
-        if not self._follower.confirmed:
+        waited_s = self._timers.now() - self._started_at
+        informed = self._membership.joined or waited_s > SERVERS_PATIENCE_S
+        if not (self._follower.confirmed and informed):
             self._opening = self._timers.after(OPEN_PERIOD_S, self._open)
             return
         await self._callers.start()
--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -60,6 +60,17 @@
         await self.timers.advance(6)
         self.assertEqual(self.follower.host, first)
 
+    async def test_start_waits_for_no_host_without_power(self):
+        """Guards against a gateway that serves a second late after a power loss."""
+        await self.change("app=x")
+        lost = self.follower._order[:-1]
+        self.cluster.leader = self.follower._order[-1]
+        self.cluster.silent.update(lost)
+        self.follower.start()
+        await self.timers.advance(0.5)
+        self.assertTrue(self.follower.confirmed)
+        self.assertEqual(self.view.current.revision, 1)
+
     async def test_host_without_majority_turns_its_subscribers_away(self):
         self.follower.start()
         await self.timers.advance(1)
