Spread no load of backend servers that tell none

Cause: heartbeats of the platform carry no load, but became announcements with 0 requests in flight. Every gateway took that for a fresh report of an idle server, and control hosts spread it for each server every 6 s. Change: the load of an announcement is optional, and unknown when it is left out.

--- a/src/geraniumbend/membership/_announcements.py
+++ b/src/geraniumbend/membership/_announcements.py
@@ -42,7 +42,7 @@
     )
     slots: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
     connection_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 220
-    in_flight: Annotated[int, Meta(ge=0, le=1_000_000)] = 0
+    in_flight: Annotated[int, Meta(ge=0, le=1_000_000)] | None = None
     draining: bool = False
     lease_s: Annotated[float, Meta(ge=1, le=MAX_LEASE_S)] = 10.0
 
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -308,9 +308,11 @@
         """Take an announcement; see `ServerDirectory.announce`."""
         changed = self._servers.announce(announcement)
         server = announcement.server
-        self._published.report_load(
-            server.server_id, server.incarnation, announcement.in_flight, server.slots
-        )
+        in_flight = announcement.in_flight
+        if in_flight is not None:
+            self._published.report_load(
+                server.server_id, server.incarnation, in_flight, server.slots
+            )
         if changed:
             self._gossip.spread_now()
         return changed
--- a/src/geraniumbend/membership/_values.py
+++ b/src/geraniumbend/membership/_values.py
@@ -20,8 +20,8 @@
     ----------
     server : BackendServer
         Address, labels, limits, incarnation and draining.
-    in_flight : int, default=0
-        Requests that the server runs now.
+    in_flight : int or None, default=None
+        Requests that the server runs now; None when it does not say.
     lease_s : float, default=10.0
         Time without an announcement after which the server counts as gone,
         in seconds.
@@ -31,7 +31,7 @@
     """
 
     server: BackendServer
-    in_flight: int = 0
+    in_flight: int | None = None
     lease_s: float = 10.0
     sequence: int = 0
 
@@ -106,7 +106,7 @@
         incarnation=record.major,
         draining=bool(value.draining),
     )
-    return Announcement(server, 0, value.lease_ms / 1000)
+    return Announcement(server, None, value.lease_ms / 1000)
 
 
 def server_record(
--- a/src/geraniumbend/platform/_instances.py
+++ b/src/geraniumbend/platform/_instances.py
@@ -60,7 +60,7 @@
         incarnation=beat.born,
         draining=STATES[status.state],
     )
-    return Announcement(server, 0, lease_s, status.sequence)
+    return Announcement(server, None, lease_s, status.sequence)
 
 
 def read_departure(body: bytes) -> int:
--- a/tests/membership/test_servers.py
+++ b/tests/membership/test_servers.py
@@ -238,6 +238,15 @@
             await self.renew(3, "g1", announcement(incarnation=incarnation))
         self.assertEqual(cluster.holders("s1"), ["g0", "g1"])
 
+    async def test_server_that_does_not_tell_its_load_is_not_taken_for_idle(self):
+        """Guards against loads of 0 that draw requests to busy servers."""
+        cluster = await self.start(3)
+        cluster.nodes["g1"].announce(announcement("s1", in_flight=None))
+        await cluster.timers.advance(2.0)
+        for node in cluster.nodes.values():
+            self.assertIn("s1", node.servers())
+            self.assertEqual(node.loads(), {})
+
     async def test_loads_travel_on_significant_change(self):
         cluster = await self.start()
         cluster.nodes["g1"].announce(announcement(in_flight=1, slots=10))
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -30,6 +30,8 @@
         self.assertEqual((server.slots, server.failure_domain), (4, "a"))
         self.assertEqual(server.incarnation, BEAT["born"])
         self.assertEqual(announcement.sequence, 4)
+        # A heartbeat says nothing of the load; 0 would make each server look idle.
+        self.assertIsNone(announcement.in_flight)
         self.assertFalse(server.draining)
         draining = self.read(status=BEAT["status"] | {"state": "draining"})
         self.assertTrue(draining.server.draining)
