Send hedges only to quiet hosts with room, and let requests wait for one

Up to 11 in 100 arrivals were hedges, sent while all servers were full and slow for it; refused repeats asked servers for their load before the budget was read; and requests went to full servers although the next slot became free some milliseconds later. Change: a hedge needs budget and a server with room; first attempts wait up to 0.4 of their objective for such a server; looks that are not used are saved for 30 s.

--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -9,6 +9,8 @@
 from geraniumbend.routing import Outcome
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from geraniumbend.proxying._context import RequestContext
     from geraniumbend.proxying._latencies import HeadLatencies
     from geraniumbend.proxying._ports import (
@@ -25,6 +27,10 @@
 
 # Answers of a failing backend server that another one may do better.
 RETRIED_STATUSES = frozenset((500, 502, 503, 504))
+# Mean service times that are left for the answer when a request waits for a server
+# with room, and the largest part of its objective that it waits.
+SERVICE_MARGIN = 1.5
+WAIT_SHARE = 0.4
 
 
 class Attempt:
@@ -115,18 +121,17 @@
         RefusedError
             If no backend server answered; `run` is truthful for all attempts.
         """
-        await self.look(context)
+        await self.look(context, self._choose_patience(context))
         attempt = self.begin(context)
         while True:
             try:
                 attempt = await self._send_hedged(attempt, context)
             except UpstreamError as error:
-                if context.safe or error.run == "not_run":
-                    await self.look(context)
                 if error.unreachable:
-                    successor = self._begin_replacement(context)
+                    successor = await self._begin_replacement(context)
                 else:
-                    successor = self._begin_retry(context, error.run == "not_run")
+                    not_run = error.run == "not_run"
+                    successor = await self._begin_retry(context, not_run)
                 if successor is None:
                     raise _explain(context, error) from error
                 self._log.log_attempt(context, successor, error.message)
@@ -138,9 +143,7 @@
                     return attempt
                 if not_run:
                     context.unresolved -= 1
-                if context.safe or not_run:
-                    await self.look(context)
-                successor = self._begin_retry(context, not_run)
+                successor = await self._begin_retry(context, not_run)
                 if successor is None and not not_run:
                     return attempt
                 self.finish(attempt, context)
@@ -150,15 +153,28 @@
                 self._log.log_attempt(context, successor, reason)
             attempt = successor
 
-    async def look(self, context: RequestContext) -> None:
-        """Learn the load of some servers that the request may be sent to."""
-        await self._router.look(
+    async def look(self, context: RequestContext, patience_s: float = 0.0) -> bool:
+        """Learn the load of some servers; whether one has room on a quiet host."""
+        return await self._router.look(
             context.group,
             context.rule.request_class,
             context.tried,
             context.deadline_s - self._timers.now(),
+            patience_s,
         )
 
+    def _choose_patience(self, context: RequestContext) -> float:
+        """Return how long a request may wait for a server with room, in seconds.
+
+        The answer still has to meet its objective, and a request that is refused in
+        the end must not have waited for long.
+        """
+        rule = context.rule
+        service_s = self._router.expect_service(context.group, rule.request_class)
+        spent_s = self._timers.now() - context.started_s
+        spare_s = rule.objective_s - SERVICE_MARGIN * service_s - spent_s
+        return max(0.0, min(spare_s, WAIT_SHARE * rule.objective_s))
+
     def begin(self, context: RequestContext) -> Attempt:
         """Choose a backend server for the next attempt.
 
@@ -181,9 +197,31 @@
         self._router.start_request(view, rule.request_class)
         return Attempt(view, now_s)
 
-    def begin_hedge(self, context: RequestContext) -> Attempt | None:
-        """Choose a server for a hedge, None if the budget or the servers are spent."""
-        attempt = self._begin_retry(context, not_run=False)
+    async def begin_hedge(
+        self, context: RequestContext, is_wanted: Callable[[], bool]
+    ) -> Attempt | None:
+        """Choose a server for a hedge.
+
+        A hedge on a server that is as busy as the first one would only add to the
+        load that makes both slow.
+
+        Parameters
+        ----------
+        context : RequestContext
+            Request.
+        is_wanted : callable
+            Whether the first attempt still runs.
+
+        Returns
+        -------
+        Attempt or None
+            None if the budget is spent or no server has room on a quiet host.
+        """
+        if not self._may_repeat(context) or not await self.look(context):
+            return None
+        if not is_wanted() or not self._budget.spend(context.group):
+            return None
+        attempt = self._begin_next(context)
         if attempt is not None:
             self._log.log_attempt(context, attempt, "the first attempt is slow")
         return attempt
@@ -257,7 +295,7 @@
 
         def renew() -> UpstreamRequest | None:
             if self._budget.counts_moves:
-                if not self._may_repeat(context):
+                if not self._spend_repeat(context):
                     return None
                 context.attempts += 1
             return build()
@@ -312,22 +350,29 @@
         if status and status < 500 and not failed:
             self._budget.earn(context.group)
 
-    def _begin_retry(self, context: RequestContext, not_run: bool) -> Attempt | None:
+    async def _begin_retry(
+        self, context: RequestContext, not_run: bool
+    ) -> Attempt | None:
         if not (context.safe or not_run) or not self._may_repeat(context):
             return None
-        return self._begin_next(context)
+        await self.look(context)
+        return self._begin_next(context) if self._spend_repeat(context) else None
+
+    def _spend_repeat(self, context: RequestContext) -> bool:
+        """Spend the budget for one more attempt if one is allowed."""
+        return self._may_repeat(context) and self._budget.spend(context.group)
 
     def _may_repeat(self, context: RequestContext) -> bool:
-        """Tell whether the request may be sent once more, and spend the budget."""
+        """Tell whether the request may be sent once more."""
         return (
             not context.single
             and context.repeatable
             and context.attempts < context.rule.retry.attempts
             and self._timers.now() < context.deadline_s
-            and self._budget.spend(context.group)
+            and self._budget.allows(context.group)
         )
 
-    def _begin_replacement(self, context: RequestContext) -> Attempt | None:
+    async def _begin_replacement(self, context: RequestContext) -> Attempt | None:
         """Choose another server after a connection could not be opened.
 
         This neither counts as an attempt nor spends the retry budget, since no server
@@ -339,6 +384,7 @@
             return None
         if self._timers.now() >= context.deadline_s:
             return None
+        await self.look(context)
         return self._begin_next(context)
 
     def _begin_next(self, context: RequestContext) -> Attempt | None:
--- a/src/geraniumbend/proxying/_context.py
+++ b/src/geraniumbend/proxying/_context.py
@@ -65,6 +65,8 @@
         Reading of the timer service's clock at which the answer is due.
     dialect : Dialect
         Header fields towards callers and backend servers.
+    started_s : float, default=0.0
+        Reading of the timer service's clock at which the request had arrived.
 
     Attributes
     ----------
@@ -83,7 +85,9 @@
         group: str,
         deadline_s: float,
         dialect: Dialect,
+        started_s: float = 0.0,
     ) -> None:
+        self.started_s = started_s
         self.request = request
         self.rule = rule
         self.group = group
--- a/src/geraniumbend/proxying/_hedge.py
+++ b/src/geraniumbend/proxying/_hedge.py
@@ -95,8 +95,7 @@
         self._second.add_done_callback(self._end_second)
 
     async def _run_second(self) -> Attempt:
-        await self._attempts.look(self._context)
-        second = self._attempts.begin_hedge(self._context) if self._waiting else None
+        second = await self._attempts.begin_hedge(self._context, lambda: self._waiting)
         if second is None:
             raise RefusedError("no second attempt is allowed")
         await self._attempts.send(second, self._context)
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -227,8 +227,13 @@
         request_class: str,
         excluded: Collection[str],
         deadline_s: float,
-    ) -> None:
-        """Learn the load of some servers before one is chosen."""
+        patience_s: float = 0.0,
+    ) -> bool:
+        """Learn the load of some servers; whether one has room on a quiet host."""
+        ...
+
+    def expect_service(self, group: str, request_class: str) -> float:
+        """Return the mean time that a request of a class takes, in seconds."""
         ...
 
     def start_request(self, view: ServerView, request_class: str) -> None:
@@ -265,6 +270,10 @@
         """Tell whether one more attempt is allowed, and count it."""
         ...
 
+    def allows(self, group: str) -> bool:
+        """Tell whether one more attempt is allowed, without counting it."""
+        ...
+
     def earn(self, group: str) -> None:
         """Count a success."""
         ...
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -190,7 +190,9 @@
         if rule.wait_limit_s:
             allowed_s = min(allowed_s, rule.wait_limit_s)
         group = self._splitter.choose(rule)
-        context = RequestContext(request, rule, group, started_s + allowed_s, dialect)
+        context = RequestContext(
+            request, rule, group, started_s + allowed_s, dialect, started_s
+        )
         status = 0
         try:
             async with asyncio.timeout(allowed_s + DEADLINE_GRACE_S) as limit:
--- a/src/geraniumbend/retries/_budget.py
+++ b/src/geraniumbend/retries/_budget.py
@@ -175,6 +175,13 @@
         bool
             False when the budget is used up.
         """
+        if not self.allows(group):
+            return False
+        self._spent[group].add(self._timers.now())
+        return True
+
+    def allows(self, group: str) -> bool:
+        """Tell whether one more retry or hedge is within the budget."""
         now = self._timers.now()
         self._refresh(now)
         earned = self._earned.get(group)
@@ -191,10 +198,7 @@
         spent = self._spent.get(group)
         if spent is None:
             spent = self._spent[group] = _Window(self._window_s)
-        if spent.read(now) + 1 > allowed:
-            return False
-        spent.add(now)
-        return True
+        return spent.read(now) + 1 <= allowed
 
     def _refresh(self, now: float) -> None:
         if now - self._refreshed < PERIOD_S:
--- a/src/geraniumbend/routing/_looks.py
+++ b/src/geraniumbend/routing/_looks.py
@@ -22,8 +22,11 @@
 GOOD_SLOWDOWN = 1.5
 # Servers slow down when more of their slots than this are busy.
 GOOD_UTILIZATION = 0.8
-# Looks that a gateway may save up for one server.
+# Looks at one server that a gateway may send at once when it starts, and the time in
+# seconds for which it saves up what it does not use. Crests need several times the
+# looks of the minutes between them.
 BURST_LOOKS = 20.0
+SAVING_S = 30.0
 
 
 class _Allowance:
@@ -37,7 +40,7 @@
 
     def take(self, rate: float, now: float) -> bool:
         earned = (now - self.updated) * rate
-        self.tokens = min(BURST_LOOKS, self.tokens + earned)
+        self.tokens = min(max(BURST_LOOKS, SAVING_S * rate), self.tokens + earned)
         self.updated = now
         if self.tokens < 1:
             return False
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -32,6 +32,9 @@
 # gateways would ask and then load the same ones.
 LOOK_SPREAD = 1.0
 LOOK_ROUNDS = 2
+# Pause before servers are asked again, in seconds; about the time in which one of a
+# few dozen busy slots becomes free.
+LOOK_PAUSE_S = 0.015
 # A server in another failure domain is asked when it looks this many times better,
 # which is about what the way there costs a short request.
 REMOTE_LOOK = 1.1
@@ -139,7 +142,8 @@
         request_class: str,
         excluded: Collection[str],
         deadline_s: float,
-    ) -> None:
+        patience_s: float = 0.0,
+    ) -> bool:
         """Ask some servers for their load, so that the next choice knows it.
 
         Parameters
@@ -152,14 +156,38 @@
             Ids of servers already tried.
         deadline_s : float
             Time left for the response, in seconds.
+        patience_s : float, default=0.0
+            Longest wait for a server with room, in seconds. Servers that are filled
+            to the last slot slow down, so a crest is passed sooner when requests wait
+            here than when they wait there.
+
+        Returns
+        -------
+        bool
+            Whether a server has room on a quiet host; True when none is asked.
         """
         if self._looks is None or not self._look_candidates:
-            return
+            return True
+        end_s = self._timers.now() + patience_s
+        while not await self._look_once(group, request_class, excluded, deadline_s):
+            if self._timers.now() + LOOK_PAUSE_S > end_s:
+                return False
+            await self._timers.sleep(LOOK_PAUSE_S)
+        return True
+
+    async def _look_once(
+        self,
+        group: str,
+        request_class: str,
+        excluded: Collection[str],
+        deadline_s: float,
+    ) -> bool:
+        assert self._looks is not None
         members = self._find_members(group, excluded)
         members = self._prefer_domain(group, request_class, members)
         good = [view for view in members if self._looks.is_good(view)]
         if good or len(members) < 2:
-            return
+            return bool(good)
         choice = self._build_choice(group, request_class, deadline_s)
         scored = sorted(
             (self._score_look(view, choice), index)
@@ -170,8 +198,9 @@
         for first in range(0, LOOK_ROUNDS * count, count):
             # Where all of the first ones are busy, the next ones may not be.
             chosen = ordered[first : first + count]
-            if not chosen or await self._looks.look(chosen):
-                return
+            if chosen and await self._looks.look(chosen):
+                return True
+        return False
 
     def _score_look(self, view: ServerView, choice: Choice) -> float:
         """Return a score that spreads the looks over servers of about equal worth."""
@@ -242,6 +271,10 @@
                 return min(known, key=lambda view: score(view, choice))
         return self._choose_in_lane(group, members, choice, policy)
 
+    def expect_service(self, group: str, request_class: str) -> float:
+        """Return the mean time that a request of a class takes, in seconds."""
+        return self._table.costs.mean_s(group, request_class, 0.0)
+
     def start_request(self, view: ServerView, request_class: str) -> None:
         """Count a request that is sent to a server."""
         view.start(request_class, self._timers.now())
--- a/tests/proxying/_path.py
+++ b/tests/proxying/_path.py
@@ -22,9 +22,17 @@
         self.views = [ServerView(server, 0.0) for server in servers]
         self.outcomes = []
         self.started = 0
+        self.looks = 0
+        self.patience_s = []
+        self.idle = True
 
-    async def look(self, group, request_class, excluded, deadline_s):
-        pass
+    async def look(self, group, request_class, excluded, deadline_s, patience_s=0.0):
+        self.looks += 1
+        self.patience_s.append(patience_s)
+        return self.idle
+
+    def expect_service(self, group, request_class):
+        return 0.01
 
     def choose(self, group, request_class, excluded, deadline_s, trial=True):
         for view in self.views:
@@ -65,6 +73,9 @@
         self.left = 100
         self.earned = 0
 
+    def allows(self, group):
+        return self.left > 0
+
     def spend(self, group):
         self.left -= 1
         return self.left >= 0
--- a/tests/proxying/test_proxy.py
+++ b/tests/proxying/test_proxy.py
@@ -325,6 +325,23 @@
         self.assertEqual(answer[0], 504)
         self.assertEqual(self.two.received, [])
 
+    async def test_hedge_waits_for_a_server_with_room_on_a_quiet_host(self):
+        """Guards against hedges at a crest, which slow all servers further."""
+        self.slow = True
+        self.path.router.idle = False
+        answer = await self.path.get("/", "Request-Timeout: 0.2")
+        self.assertEqual(answer[0], 504)
+        self.assertEqual(self.two.received, [])
+        self.assertEqual(self.path.budget.left, 100)
+
+    async def test_attempt_without_budget_asks_no_server_for_its_load(self):
+        """Guards against looks that are paid for and used by nobody."""
+        self.slow = True
+        self.path.budget.left = 0
+        self.path.router.looks = 0
+        await self.path.get("/", "Request-Timeout: 0.2")
+        self.assertEqual(self.path.router.looks, 1)
+
     async def test_caller_that_leaves_cancels_both_attempts(self):
         self.slow = True
         self.two.script = hang
@@ -347,6 +364,31 @@
     not_run_statuses = frozenset((408, 421, 429, 503))
 
 
+class PatienceTest(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, **fields):
+        """Return how long a request may wait for a server with room."""
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        rule = make_rule(**fields)
+        async with (
+            ScriptedBackend(send_raw(raw)) as backend,
+            DataPath(backend, rule=rule) as path,
+        ):
+            await path.get()
+            return path.router.patience_s[0]
+
+    async def test_wait_for_room_leaves_time_for_the_answer(self):
+        """Guards against requests that wait so long that their answers come late."""
+        patience_s = await self.ask(objective_s=0.3)
+        self.assertGreater(patience_s, 0.05)
+        self.assertLessEqual(patience_s, 0.4 * 0.3)
+
+    async def test_request_without_objective_waits_for_no_room(self):
+        self.assertEqual(await self.ask(), 0.0)
+
+    async def test_request_that_is_late_already_waits_for_no_room(self):
+        self.assertEqual(await self.ask(objective_s=0.012), 0.0)
+
+
 class TruthfulStatusTest(unittest.IsolatedAsyncioTestCase):
     async def test_request_that_may_have_run_gets_no_status_that_denies_it(self):
         async def run_and_drop(received, reader, writer):
--- a/tests/routing/test_looks.py
+++ b/tests/routing/test_looks.py
@@ -6,8 +6,8 @@
 import unittest
 
 from geraniumbend.routing import FreshLooks, LoadReport, Router, ServerTable
-from geraniumbend.routing._looks import BURST_LOOKS
-from geraniumbend.timers import LoopTimers
+from geraniumbend.routing._looks import BURST_LOOKS, SAVING_S
+from geraniumbend.timers import LoopTimers, ManualTimers
 from tests.fakes import FakeShares, build_configuration, build_servers
 
 
@@ -51,6 +51,42 @@
         # what was learned from earlier looks is used besides.
         self.assertGreater(chosen.count("s0"), 20)
 
+    async def test_look_tells_whether_a_quiet_host_has_room(self):
+        self.build(3)
+        self.assertTrue(await self.router.look("g", "c", (), 1.0))
+        self.build(3)
+        self.loads.update(s0=(4, 1.0), s1=(4, 1.2), s2=(0, 5.0))
+        self.assertFalse(await self.router.look("g", "c", (), 1.0))
+
+    async def test_request_waits_for_the_first_server_with_room(self):
+        """Guards against a crest at which full servers are filled further."""
+        self.build(2)
+        self.loads.update(s0=(4, 1.0), s1=(4, 1.0))
+        started = self.timers.now()
+        waiting = asyncio.ensure_future(self.router.look("g", "c", (), 1.0, 0.5))
+        await asyncio.sleep(0.1)
+        self.assertFalse(waiting.done())
+        self.loads["s1"] = (1, 1.0)
+        self.assertTrue(await waiting)
+        self.assertLess(self.timers.now() - started, 0.4)
+        self.assertEqual(self.router.choose("g", "c", (), 1.0).server_id, "s1")
+
+    async def test_wait_for_room_ends_with_the_patience(self):
+        self.build(2)
+        self.loads.update(s0=(4, 1.0), s1=(4, 1.0))
+        started = self.timers.now()
+        self.assertFalse(await self.router.look("g", "c", (), 1.0, 0.1))
+        self.assertLess(self.timers.now() - started, 0.2)
+
+    async def test_looks_that_were_not_used_are_saved_for_a_crest(self):
+        self.build(2, limit_per_s=10.0)
+        timers = ManualTimers()
+        looks = FreshLooks(timers, self.shares.gateway_share, 10.0)
+        self.assertTrue(looks._may_ask("s0"))
+        await timers.advance(60.0)
+        asked = sum(looks._may_ask("s0") for _ in range(1000))
+        self.assertEqual(asked, int(SAVING_S * 10.0))
+
     async def test_full_server_is_not_good_however_fast_its_host_is(self):
         self.build(2)
         self.loads.update(s0=(4, 1.0), s1=(1, 1.2))
