Refuse at once while servers are full, and follow the utilization they report

Catalogue requests waited for a quiet host in their own domain while others were idle. A request that a server sheds was told to come back after 1 s, when nobody may wait that long. Change: a guard lowers the level within half a second when the servers report more work than slots; a request is refused with a short Retry-After when all servers that it asked are full; large answers leave their failure domain when it has no quiet host; only servers without a fresh report are asked again; 212 and 400 tell the inputs of the decision.

--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -248,10 +248,15 @@
         refusing = level < 1 if not lane.refusing else level < 1.1
         if refusing != lane.refusing:
             lane.refusing = refusing
-            if refusing:
-                log_event(400, group=lane.group, long=lane.long)
-            else:
-                log_event(401, group=lane.group, long=lane.long)
+            log_event(
+                400 if refusing else 401,
+                group=lane.group,
+                long=lane.long,
+                level=round(level, 3),
+                guard=round(lane.level.guard, 3),
+                utilization=round(utilization, 3),
+                slots=round(lane.slots, 2),
+            )
 
     def _own_slots(self, lane: _Lane) -> float:
         lanes = self._table.lanes.lanes(lane.group)
@@ -274,7 +279,8 @@
     ) -> None:
         wait_s = (lane.queue.count_before(rank) + 1) * service_s / lane.limit
         if now + wait_s + service_s > request.deadline:
-            raise self._refuse(lane, "the queue is too long for the deadline")
+            cause = "the queue is too long for the deadline"
+            raise self._refuse(lane, cause, wait_s)
         entry = Waiting(
             rank,
             lane.queue.next_number(),
@@ -332,10 +338,12 @@
         if not entry.woken.done():
             entry.woken.set_exception(self._refuse(lane, cause))
 
-    def _refuse(self, lane: _Lane, cause: str) -> RefusedError:
+    def _refuse(
+        self, lane: _Lane, cause: str, retry_after_s: float = RETRY_AFTER_S
+    ) -> RefusedError:
         lane.refused += 1
         return RefusedError(
             f"request to group {lane.group!r} refused: {cause}",
             "retry after the stated delay",
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=retry_after_s,
         )
--- a/src/geraniumbend/admission/_levels.py
+++ b/src/geraniumbend/admission/_levels.py
@@ -23,6 +23,13 @@
 IDLE_UTILIZATION = 0.7
 LOWEST_CORRECTION = 0.5
 HIGHEST_CORRECTION = 1.3
+# Reported utilization that the guard holds, how much it moves in a period for each
+# unit of difference, and its bounds. A crest is over after a few seconds, so the guard
+# halves what is admitted half a second after servers were filled twice.
+GUARD_TARGET = 1.0
+GUARD_GAIN = 0.15
+LOWEST_GUARD = 0.3
+HIGHEST_GUARD = 1.0
 
 
 class AdmissionLevel:
@@ -37,6 +44,7 @@
         self.demand = DemandWindow()
         self.value = math.inf
         self.correction = 1.0
+        self.guard = HIGHEST_GUARD
         self._updated = -math.inf
         self._wait = 0.0
 
@@ -50,7 +58,11 @@
         return now - self._updated >= PERIOD_S
 
     def update(
-        self, slots: float, utilization: float, running: int, now: float
+        self,
+        slots: float,
+        utilization: float,
+        running: int,
+        now: float,
     ) -> float:
         """Compute the level anew.
 
@@ -84,8 +96,18 @@
         busy = utilization if utilization > 0 else running / max(slots, 1.0)
         if busy < IDLE_UTILIZATION:
             self.value = max(1.0, self.value)
+        self._guard(utilization)
+        self.value = min(self.value, self.guard)
         return self.value
 
+    def _guard(self, utilization: float) -> None:
+        """Follow the utilization that the servers report, whatever demand says."""
+        if utilization <= 0:
+            self.guard = HIGHEST_GUARD
+            return
+        step = GUARD_GAIN * (GUARD_TARGET - utilization)
+        self.guard = min(HIGHEST_GUARD, max(LOWEST_GUARD, self.guard + step))
+
     def _correct(self, utilization: float) -> None:
         if self.value >= 1:
             self.correction += STEP * (1.0 - self.correction)
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -6,6 +6,7 @@
 from geraniumbend.proxying._hedge import Hedge
 from geraniumbend.proxying._ports import UpstreamError
 from geraniumbend.proxying._relay import read_length
+from geraniumbend.proxying._request_log import describe_choice
 from geraniumbend.routing import Outcome
 
 if TYPE_CHECKING:
@@ -27,6 +28,9 @@
 
 # Answers of a failing backend server that another one may do better.
 RETRIED_STATUSES = frozenset((500, 502, 503, 504))
+# A server that sheds a request says nothing of the others, so the caller may soon come
+# back, in seconds.
+SHED_RETRY_AFTER_S = 0.05
 # Mean service times that are left for the answer when a request waits for a server
 # with room, and the largest part of its objective that it waits.
 SERVICE_MARGIN = 1.5
@@ -192,6 +196,9 @@
             context.deadline_s - now_s,
             trial=context.safe,
         )
+        context.evidence = describe_choice(view, now_s)
+        if not context.attempts:
+            context.waited_s = now_s - context.started_s
         context.tried.add(view.server_id)
         context.attempts += 1
         self._router.start_request(view, rule.request_class)
@@ -421,6 +428,7 @@
 
 def _explain_shed(context: RequestContext, answer: Answer) -> RefusedError:
     after = answer.headers.get("Retry-After", "")
-    delay_s = float(after) if after.isdecimal() and len(after) < 6 else 1.0
+    stated = after.isdecimal() and len(after) < 6
+    delay_s = float(after) if stated else SHED_RETRY_AFTER_S
     cause = RefusedError("backend server shed the request before running it")
     return context.refuse(cause, 503, "shed", delay_s)
--- a/src/geraniumbend/proxying/_context.py
+++ b/src/geraniumbend/proxying/_context.py
@@ -74,6 +74,10 @@
         Attempts of which it is not known that they were not run.
     tried : set of str
         Ids of backend servers that were tried.
+    waited_s : float
+        Time before the first attempt, in seconds.
+    evidence : dict of str to object
+        What was known of the server of the last attempt when it was chosen.
     single : bool
         The request must not be sent a second time even if it was not run.
     """
@@ -104,6 +108,8 @@
         self.tried: set[str] = set()
         self.attempts = 0
         self.unresolved = 0
+        self.waited_s = 0.0
+        self.evidence: dict[str, object] = {}
         self._prefix = b""
 
     @property
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -355,7 +355,9 @@
             attempts=context.attempts,
             servers=sorted(context.tried),
             took_ms=round(took_s * 1000, 1),
+            waited_ms=round(context.waited_s * 1000, 1),
             revision=self._parts.configuration.current.revision,
+            **context.evidence,
         )
 
     def _note_caller_left(self, context: RequestContext, started_s: float) -> None:
--- a/src/geraniumbend/proxying/_request_log.py
+++ b/src/geraniumbend/proxying/_request_log.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from geraniumbend.proxying._attempts import Attempt
     from geraniumbend.proxying._context import RequestContext
+    from geraniumbend.routing import ServerView
     from geraniumbend.timers import TimerService
 
 # Lines a second for requests that took the ordinary way; the others are counted.
@@ -99,21 +100,15 @@
     ) -> None:
         """Write why a request is sent once more, and what is known of the server."""
         now = self._timers.now()
-        view = attempt.view
-        report = view.report
         fields: dict[str, object] = {
             "request_id": context.request.request_id,
             "attempt": context.attempts,
             "reason": reason,
-            "server": view.server_id,
-            "server_incarnation": view.server.incarnation,
-            "own_in_flight": view.in_flight,
+            "server": attempt.view.server_id,
+            "server_incarnation": attempt.view.server.incarnation,
             "left_ms": round((context.deadline_s - now) * 1000),
+            **context.evidence,
         }
-        if report is not None:
-            fields["reported_in_flight"] = report.in_flight
-            fields["slowdown"] = report.slowdown
-            fields["report_age_ms"] = round((now - view.report_at) * 1000)
         if self._may_log(self._notable, fields):
             log_event(214, **fields)
 
@@ -124,3 +119,13 @@
         if budget.skipped:
             fields["skipped_before"], budget.skipped = budget.skipped, 0
         return True
+
+
+def describe_choice(view: ServerView, now: float) -> dict[str, object]:
+    """Return what was known of a backend server when it was chosen, with its age."""
+    fields: dict[str, object] = {"own_in_flight": view.in_flight}
+    if view.report is not None:
+        fields["reported_in_flight"] = view.report.in_flight
+        fields["slowdown"] = view.report.slowdown
+        fields["report_age_ms"] = round((now - view.report_at) * 1000)
+    return fields
--- a/src/geraniumbend/routing/_looks.py
+++ b/src/geraniumbend/routing/_looks.py
@@ -107,6 +107,10 @@
             and (report.slowdown or 1.0) <= GOOD_SLOWDOWN
         )
 
+    def has_room(self, view: ServerView) -> bool:
+        """Tell whether a slot was free at the last report and was not taken since."""
+        return view.estimate_in_flight(self._timers.now()) + 1 <= view.slots
+
     async def look(self, candidates: list[ServerView]) -> bool:
         """Refresh the reports of some servers until one of them is good.
 
@@ -124,7 +128,8 @@
             return True
         if self._send is None:
             return False
-        waiting = {self._start(view) for view in candidates} - {None}
+        unknown = [view for view in candidates if not self.is_fresh(view)]
+        waiting = {self._start(view) for view in unknown} - {None}
         end = self._timers.now() + LOOK_TIMEOUT_S
         while waiting and (left := end - self._timers.now()) > 0:
             _done, waiting = await asyncio.wait(
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -28,6 +28,9 @@
 # Short requests leave their lane for a server of the long lane only when it looks
 # this many times better, because a long request may follow it there.
 SPILL_FACTOR = 4.0
+# Part of the mean service time after which a refused request finds room again: half of
+# the slots change hands in it.
+ROOM_SHARE = 0.5
 # Random part of the order in which servers are asked for their load; without it all
 # gateways would ask and then load the same ones.
 LOOK_SPREAD = 1.0
@@ -184,9 +187,21 @@
     ) -> bool:
         assert self._looks is not None
         members = self._find_members(group, excluded)
-        members = self._prefer_domain(group, request_class, members)
+        near = self._list_near(group, request_class, members)
+        if near and await self._look_among(near, group, request_class, deadline_s):
+            return True
+        return await self._look_among(members, group, request_class, deadline_s)
+
+    async def _look_among(
+        self,
+        members: list[ServerView],
+        group: str,
+        request_class: str,
+        deadline_s: float,
+    ) -> bool:
+        assert self._looks is not None
         good = [view for view in members if self._looks.is_good(view)]
-        if good or len(members) < 2:
+        if good or not members:
             return bool(good)
         choice = self._build_choice(group, request_class, deadline_s)
         scored = sorted(
@@ -250,7 +265,6 @@
                 kind="no_backend_server",
                 retry_after_s=1.0,
             )
-        members = self._prefer_domain(group, request_class, members)
         if len(members) == 1:
             return members[0]
         choice = self._build_choice(group, request_class, deadline_s)
@@ -261,16 +275,43 @@
             due = self._find_trial(group, members, choice)
             if due is not None:
                 return due
+        near = self._list_near(group, request_class, members)
         if self._looks is not None:
-            known = [view for view in members if self._looks.is_good(view)]
-            if not known:
-                # Two of fresh reports say more than four of old ones.
-                known = [view for view in members if self._looks.is_fresh(view)]
-                known = known if len(known) > 1 else []
+            known = self._list_known(members, choice, self._looks)
+            known = [view for view in known if view in near] or known
             if known:
                 return min(known, key=lambda view: score(view, choice))
+        members = near or members
         return self._choose_in_lane(group, members, choice, policy)
 
+    def _list_known(
+        self, members: list[ServerView], choice: Choice, looks: FreshLooks
+    ) -> list[ServerView]:
+        """Return the servers that fresh reports speak for, none without reports.
+
+        Raises
+        ------
+        RefusedError
+            If as many servers as a request asks were found full just now. One more
+            request would slow all others on its server and come late itself.
+        """
+        good = [view for view in members if looks.is_good(view)]
+        if good:
+            return good
+        fresh = [view for view in members if looks.is_fresh(view)]
+        free = [view for view in fresh if looks.has_room(view)]
+        if fresh and not free:
+            asked = min(len(members), LOOK_ROUNDS * self._look_candidates)
+            if len(fresh) >= asked:
+                raise RefusedError(
+                    "all servers that were asked are full",
+                    "retry after the stated delay",
+                    kind="saturated",
+                    retry_after_s=ROOM_SHARE * choice.mean_s,
+                )
+        # Two of fresh reports say more than four of old ones.
+        return free if len(fresh) > 1 else []
+
     def expect_service(self, group: str, request_class: str) -> float:
         """Return the mean time that a request of a class takes, in seconds."""
         return self._table.costs.mean_s(group, request_class, 0.0)
@@ -333,26 +374,25 @@
             if view.server_id not in excluded and not view.gone
         ]
 
-    def _prefer_domain(
+    def _list_near(
         self, group: str, request_class: str, members: list[ServerView]
     ) -> list[ServerView]:
-        """Return the members in this failure domain for requests with large answers.
+        """Return members of this failure domain for requests with large answers.
 
-        Bytes between failure domains are scarce; a busy server nearby is the better
-        choice until it has no room or fails.
+        Bytes between failure domains are scarce, so these go first while one of them
+        has room and does not fail; none for other requests.
         """
         cost = self._table.costs.cost(group, request_class)
         if cost is None or cost.answer_bytes < LARGE_ANSWER_BYTES:
-            return members
+            return []
         now = self._timers.now()
-        near = [
+        return [
             view
             for view in members
             if view.server.failure_domain == self._failure_domain
             and view.estimate_in_flight(now) < view.slots
             and view.error_rate(now) < FAILING_RATE
         ]
-        return near or members
 
     def _members(self, group: str) -> list[ServerView]:
         members = self._table.available(group)
--- a/src/geraniumbend/routing/_table.py
+++ b/src/geraniumbend/routing/_table.py
@@ -22,6 +22,8 @@
 WARM_S = 5.0
 # Mean utilization of a group is computed anew after this time in seconds.
 UTILIZATION_PERIOD_S = 0.05
+# A report counts by 1/e at this age in the utilization of a group, in seconds.
+REPORT_WEIGHT_S = 0.3
 # Reports older than this, in seconds, do not count in the utilization of a group.
 REPORT_LIFE_S = 2.0
 
@@ -163,12 +165,15 @@
         loads = []
         for view in self.available(group):
             reported = view.reported_in_flight()
-            if reported is not None and now - view.report_at < REPORT_LIFE_S:
-                loads.append((reported / view.slots, reported, view.slots))
+            age_s = now - view.report_at
+            if reported is not None and age_s < REPORT_LIFE_S:
+                weight = view.slots * math.exp(-age_s / REPORT_WEIGHT_S)
+                loads.append((reported / view.slots, weight))
         mean = typical = 0.0
         if loads:
             loads.sort()
-            mean = sum(load[1] for load in loads) / sum(load[2] for load in loads)
+            total = sum(weight for _, weight in loads)
+            mean = sum(load * weight for load, weight in loads) / total
             typical = min(1.0, loads[len(loads) // 2][0])
         self._utilization[group] = (now, mean, typical)
         return self._utilization[group]
--- a/tests/routing/test_looks.py
+++ b/tests/routing/test_looks.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import unittest
+from contextlib import suppress
 
+from geraniumbend.errors import RefusedError
 from geraniumbend.routing import FreshLooks, LoadReport, Router, ServerTable
 from geraniumbend.routing._looks import BURST_LOOKS, SAVING_S
 from geraniumbend.timers import LoopTimers, ManualTimers
@@ -78,6 +80,28 @@
         self.assertFalse(await self.router.look("g", "c", (), 1.0, 0.1))
         self.assertLess(self.timers.now() - started, 0.2)
 
+    async def test_request_is_refused_while_all_servers_are_full(self):
+        """Guards against a crest that makes every answer late instead of some."""
+        self.build(2)
+        self.loads.update(s0=(4, 1.0), s1=(6, 1.0))
+        with self.assertRaises(RefusedError) as caught:
+            await self.choose()
+        self.assertEqual(caught.exception.kind, "saturated")
+        self.assertEqual(caught.exception.run, "not_run")
+        self.assertGreater(caught.exception.retry_after_s, 0.0)
+
+    async def test_free_slot_on_a_noisy_host_is_used_when_no_other_is(self):
+        self.build(2)
+        self.loads.update(s0=(4, 1.0), s1=(3, 5.0))
+        self.assertEqual(await self.choose(), "s1")
+
+    async def test_nothing_is_refused_without_fresh_reports_of_full_servers(self):
+        """Guards against refusals when servers do not tell their load in time."""
+        self.build(3)
+        self.silent = {"s1", "s2"}
+        self.loads["s0"] = (4, 1.0)
+        self.assertIn(await self.choose(), self.loads)
+
     async def test_looks_that_were_not_used_are_saved_for_a_crest(self):
         self.build(2, limit_per_s=10.0)
         timers = ManualTimers()
@@ -125,7 +149,8 @@
         self.loads["s0"] = (4, 5.0)
         started = self.timers.now()
         while self.timers.now() - started < 1.0:
-            await self.choose()
+            with suppress(RefusedError):
+                await self.choose()
             await asyncio.sleep(0.01)
         # Two a second for this gateway and server, besides what it may save up.
         most = BURST_LOOKS + 2 + 1
