Share the answers of /metrics and /state, and the refusal of malformed time limits

Both stood twice: the announce listener served metrics and state beside the listener made for them, and the native dialect refused malformed limits in words of its own. Behaviour stays, but for the wording of that refusal.

--- a/src/geraniumbend/adapters/_announce_listener.py
+++ b/src/geraniumbend/adapters/_announce_listener.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from geraniumbend.adapters.metrics_listener import METRICS_TYPE
+from geraniumbend.adapters.metrics_listener import MetricsSource, describe_process
 from geraniumbend.adapters.plain_server import PlainServer, read_body
 from geraniumbend.errors import GeraniumbendError, RefusedError
 from geraniumbend.logs import declare_event, log_event
@@ -42,21 +42,13 @@
         ...
 
 
-class AnnounceSource(Protocol):
+class AnnounceSource(MetricsSource, Protocol):
     """What the listener serves and changes."""
 
     def is_ready(self) -> bool:
         """Tell whether callers may send requests here."""
         ...
 
-    def dump(self) -> dict[str, Any]:
-        """Return the state of the process."""
-        ...
-
-    def render_metrics(self) -> bytes:
-        """Return the metrics in the Prometheus text format."""
-        ...
-
 
 class AnnounceListener:
     """Serves announcements, ``/readyz``, ``/healthz``, ``/state`` and ``/metrics``.
@@ -131,13 +123,9 @@
             return _answer_json({"ready": ready}, 200 if ready else 503)
         if path == "/healthz":
             return _answer_json({"healthy": True})
-        if path == "/state":
-            return _answer_json(self._source.dump())
-        if path == "/metrics":
-            return web.Response(
-                body=self._source.render_metrics(),
-                headers={"Content-Type": METRICS_TYPE},
-            )
+        observation = describe_process(self._source, path)
+        if observation is not None:
+            return observation
         raise RefusedError("there is nothing here", status=404, kind="not_found")
 
 
--- a/src/geraniumbend/adapters/metrics_listener.py
+++ b/src/geraniumbend/adapters/metrics_listener.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from geraniumbend.settings import ListenSettings
 
-__all__ = ["METRICS_TYPE", "MetricsListener", "MetricsSource"]
+__all__ = ["METRICS_TYPE", "MetricsListener", "MetricsSource", "describe_process"]
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -58,10 +58,18 @@
         await self._server.stop()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
-        if request.path == "/metrics":
-            metrics = self._source.render_metrics()
-            return web.Response(body=metrics, headers={"Content-Type": METRICS_TYPE})
-        if request.path == "/state":
-            state = json.dumps(self._source.dump(), default=str).encode()
-            return web.Response(body=state, content_type="application/json")
+        observation = describe_process(self._source, request.path)
+        if observation is not None:
+            return observation
         return web.Response(status=404, text="use /metrics or /state\n")
+
+
+def describe_process(source: MetricsSource, path: str) -> web.Response | None:
+    """Return the answer to ``/metrics`` or ``/state``, None for other paths."""
+    if path == "/metrics":
+        metrics = source.render_metrics()
+        return web.Response(body=metrics, headers={"Content-Type": METRICS_TYPE})
+    if path == "/state":
+        state = json.dumps(source.dump(), default=str).encode()
+        return web.Response(body=state, content_type="application/json")
+    return None
--- a/src/geraniumbend/proxying/__init__.py
+++ b/src/geraniumbend/proxying/__init__.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from geraniumbend.proxying._dialect import (
-    Dialect,
-    StandardDialect,
-    refuse_deadline,
-)
+from geraniumbend.proxying._dialect import Dialect, StandardDialect
 from geraniumbend.proxying._headers import (
     HOP_BY_HOP,
     choose_request_id,
     parse_request_timeout,
+    refuse_deadline,
 )
 from geraniumbend.proxying._ports import (
     Answer,
--- a/src/geraniumbend/proxying/_dialect.py
+++ b/src/geraniumbend/proxying/_dialect.py
@@ -3,7 +3,6 @@
 import math
 from typing import TYPE_CHECKING, Protocol
 
-from geraniumbend.errors import RefusedError
 from geraniumbend.proxying._headers import (
     HOP_BY_HOP,
     choose_request_id,
@@ -167,13 +166,3 @@
 
 def _append(existing: str | None, value: str) -> str:
     return f"{existing}, {value}" if existing else value
-
-
-def refuse_deadline(name: str, text: str) -> RefusedError:
-    """Return the refusal of a malformed time limit."""
-    return RefusedError(
-        f"{name} {text[:40]!r} is no positive number",
-        "send a decimal number",
-        status=400,
-        kind="bad_request",
-    )
--- a/src/geraniumbend/proxying/_headers.py
+++ b/src/geraniumbend/proxying/_headers.py
@@ -72,6 +72,16 @@
     return os.urandom(16).hex()
 
 
+def refuse_deadline(name: str, text: str) -> RefusedError:
+    """Return the refusal of a malformed time limit."""
+    return RefusedError(
+        f"{name} {text[:40]!r} is no positive number",
+        "send a decimal number",
+        status=400,
+        kind="bad_request",
+    )
+
+
 def parse_request_timeout(text: str | None, default_s: float) -> float:
     """Return the time that a caller grants, in seconds.
 
@@ -99,10 +109,5 @@
     except ValueError:
         seconds = -1.0
     if not 0.0 < seconds < float("inf"):
-        raise RefusedError(
-            f"Request-Timeout {text[:40]!r} is no positive number of seconds",
-            "send a decimal number of seconds",
-            status=400,
-            kind="bad_request",
-        )
+        raise refuse_deadline("Request-Timeout", text)
     return min(seconds, MAX_DEADLINE_S)
