--- a/tests/replication/cluster.py
+++ b/tests/replication/cluster.py
@@ -199,3 +199,12 @@
         await cluster.propose(*self.commands)
         await cluster.converge()
         return cluster
+
+    async def open_with_slow_leader(self, seed):
+        """Return a cluster led by n1, whose clock is slow while the others are fast."""
+        cluster = await self.open(seed=seed, rates={"n1": 0.9, "n2": 1.1, "n3": 1.1})
+        slow = cluster.replicas["n1"]
+        if not slow.is_leader:
+            await cluster.finish(slow._elections.campaign(is_transfer=True))
+            await cluster.until(lambda: slow.is_leader)
+        return cluster
--- a/tests/replication/test_partitions.py
+++ b/tests/replication/test_partitions.py
@@ -45,13 +45,7 @@
     async def test_no_voter_is_free_before_the_old_lease_ends_under_drift(self):
         """Guards against a lease that outlasts the voters' promise at 10 % drift."""
         for seed in range(10):
-            cluster = await self.open(
-                seed=seed, rates={"n1": 0.9, "n2": 1.1, "n3": 1.1}
-            )
-            slow = cluster.replicas["n1"]
-            if not slow.is_leader:
-                await cluster.finish(slow._elections.campaign(is_transfer=True))
-                await cluster.until(lambda slow=slow: slow.is_leader)
+            cluster = await self.open_with_slow_leader(seed)
             cluster.network.isolate("n1", cluster.nodes)
             for _ in range(300):
                 await cluster.timers.advance(0.005)
--- a/tests/replication/test_restarts.py
+++ b/tests/replication/test_restarts.py
@@ -44,13 +44,7 @@
         """Guards against two leaders that answer when voters restart at once."""
         for seed in range(10):
             with self.subTest(seed=seed):
-                cluster = await self.open(
-                    seed=seed, rates={"n1": 0.9, "n2": 1.1, "n3": 1.1}
-                )
-                slow = cluster.replicas["n1"]
-                if not slow.is_leader:
-                    await cluster.finish(slow._elections.campaign(is_transfer=True))
-                    await cluster.until(lambda slow=slow: slow.is_leader)
+                cluster = await self.open_with_slow_leader(seed)
                 cluster.network.isolate("n1", cluster.nodes)
                 for name in ("n2", "n3"):
                     await cluster.kill(name)
