Spread retry earnings like demand, within a domain of a large cluster

Cause: earnings changed by more than a quarter on most gateways each second or two and were spread like durable records: up to 10 transmissions by each of 146 nodes, and by anti-entropy. Change: earnings are an ephemeral kind: three transmissions, half a second apart, within the domain above 64 nodes, where the gateways that are heard stand for the others. One datagram carries all ephemeral kinds.

--- a/src/geraniumbend/membership/_gossip.py
+++ b/src/geraniumbend/membership/_gossip.py
@@ -242,8 +242,7 @@
         self._spread("")
 
     def _spread_ephemeral(self) -> None:
-        for kind in sorted(EPHEMERAL):
-            self._spread(kind)
+        self._spread(next(iter(EPHEMERAL)))
 
     def _spread(self, scope: str) -> None:
         if not any(_in_scope(queued.record, scope) for queued in self._values()):
@@ -316,4 +315,4 @@
 
 
 def _in_scope(record: Record, scope: str) -> bool:
-    return record.kind == scope if scope else record.kind not in EPHEMERAL
+    return (record.kind in EPHEMERAL) == bool(scope)
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -14,6 +14,7 @@
 from geraniumbend.membership._pauses import PauseRecovery
 from geraniumbend.membership._published import PublishedRecords
 from geraniumbend.membership._records import (
+    DOMAIN_SCOPE_NODES,
     EPHEMERAL,
     MEMBER,
     SERVER,
@@ -43,8 +44,6 @@
 # that was lost as a whole may be back later.
 JOIN_PATIENCE_S = 0.4
 SECOND_LOOKS_S = (0.5, 1.5)
-# Above this size loads and demand stay within a failure domain.
-DOMAIN_SCOPE_NODES = 64
 LEAVE_MESSAGES = 30
 
 declare_event(
--- a/src/geraniumbend/membership/_records.py
+++ b/src/geraniumbend/membership/_records.py
@@ -20,9 +20,12 @@
 SERVER = "server"
 LOAD = "load"
 DEMAND = "demand"
+RETRY_EARNINGS = "retry-budget"
 # Superseded within seconds by their writers, so anti-entropy skips them.
-EPHEMERAL = frozenset({LOAD, DEMAND})
+EPHEMERAL = frozenset({LOAD, DEMAND, RETRY_EARNINGS})
 LIVE, WITHDRAWN = 0, 1
+# Above this size ephemeral records stay within a failure domain.
+DOMAIN_SCOPE_NODES = 64
 BUCKETS = 64
 MAX_TEXT = 512
 MAX_VALUE_BYTES = 16 * 1024
--- a/src/geraniumbend/membership/_shares.py
+++ b/src/geraniumbend/membership/_shares.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from geraniumbend.errors import GeraniumbendError
-from geraniumbend.membership._records import DEMAND
+from geraniumbend.membership._records import DEMAND, DOMAIN_SCOPE_NODES
 from geraniumbend.wire import decode, encode, load_structs
 
 if TYPE_CHECKING:
@@ -189,7 +189,7 @@
             for group, rate in rates.items():
                 if isinstance(group, str) and rate > 0 and math.isfinite(rate):
                     totals[group] = totals.get(group, 0.0) + rate
-        if len(live) + 1 > 64 and reporting < len(live) + 1:
+        if len(live) + 1 > DOMAIN_SCOPE_NODES and reporting < len(live) + 1:
             # Above this size demand stays within a failure domain, whose gateways
             # then stand for the others.
             factor = (len(live) + 1) / reporting
--- a/src/geraniumbend/retries/_budget.py
+++ b/src/geraniumbend/retries/_budget.py
@@ -5,13 +5,13 @@
 from typing import TYPE_CHECKING, Protocol
 
 from geraniumbend.errors import GeraniumbendError
+from geraniumbend.membership import DOMAIN_SCOPE_NODES, RETRY_EARNINGS
 from geraniumbend.wire import decode, encode, load_structs
 
 if TYPE_CHECKING:
     from geraniumbend.settings import Settings
     from geraniumbend.timers import TimerService
 
-KIND = "retry-budget"
 # Retries and hedges of all gateways together, as a share of their successes.
 BUDGET_SHARE = 0.1
 WINDOW_S = 10.0
@@ -207,9 +207,11 @@
         self._publish(now)
         self._others = {}
         struct = load_structs("retries").RetryEarnings
-        for (node, _), value in self._membership.records(KIND).items():
+        reporting = 1
+        for (node, _), value in self._membership.records(RETRY_EARNINGS).items():
             if node == self._node:
                 continue
+            reporting += 1
             try:
                 rates = decode(struct, value).rates or {}
             except GeraniumbendError:
@@ -217,6 +219,12 @@
             for group, rate in rates.items():
                 if math.isfinite(rate) and rate > 0:
                     self._others[group] = self._others.get(group, 0.0) + rate
+        gateways = 1 / max(self._shares.gateway_share(), 1e-9)
+        if gateways >= DOMAIN_SCOPE_NODES and reporting > 1:
+            # In a large cluster only gateways of the own failure domain are heard,
+            # which then stand for the others.
+            factor = max(1.0, gateways / reporting)
+            self._others = {name: n * factor for name, n in self._others.items()}
 
     def _publish(self, now: float) -> None:
         earned = {group: count.read(now) for group, count in self._earned.items()}
@@ -231,7 +239,8 @@
             return
         value = encode(load_structs("retries").RetryEarnings(rates=current))
         try:
-            self._membership.publish(KIND, "", value, LIFETIME_S)
+            sent = self._membership.publish(RETRY_EARNINGS, "", value, LIFETIME_S)
         except GeraniumbendError:
             return
-        self._published, self._published_at = current, now
+        if sent:
+            self._published, self._published_at = current, now
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -49,6 +49,27 @@
         self.timers.step(60)
         self.assertEqual(self.spend_all(budget), 1)
 
+    def test_gateways_that_hear_only_their_domain_keep_the_common_budget(self):
+        """Guards against domains of a large cluster that each spend too much."""
+        timers = StepTimers()
+        shares = FakeShares(70)
+        budgets = []
+        for domain in range(7):
+            bus = FakeBus()
+            for index in range(10):
+                name = f"d{domain}n{index}"
+                budget = RetryBudget(name, bus.join(name), shares, timers)
+                self.earn(budget, 100 * (1 + domain % 3))
+                budgets.append(budget)
+        earned = 10 * 100 * (1 + 2 + 3 + 1 + 2 + 3 + 1)
+        timers.step(1.1)
+        for budget in budgets:
+            budget.earn("g")
+        timers.step(1.1)
+        total = sum(self.spend_all(budget) for budget in budgets)
+        self.assertLessEqual(total, 0.1 * (earned + len(budgets)))
+        self.assertGreater(total, 0.08 * earned)
+
     def test_budgets_of_groups_are_separate(self):
         (budget,) = self.build(1)
         self.earn(budget, 500)
