Prefer servers that do not fail, and take rooms and trials out of the router

Cause: a server that fails fast has no requests in flight and a quiet host, so fresh looks found it good; its score exceeded that of a busy server only by a factor. Change: servers that fail a fifth of their requests are used when no other has room.

--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -6,7 +6,9 @@
 from geraniumbend.errors import RefusedError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.routing._policies import Choice, Policy, policies, score
+from geraniumbend.routing._rooms import RoomFinder
 from geraniumbend.routing._subsets import choose_subset
+from geraniumbend.routing._trials import Trials
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -18,43 +20,12 @@
     from geraniumbend.settings import Settings
     from geraniumbend.timers import TimerService
 
-# A server that looks this many times worse than the group's mean gets trial requests
-# only, because sampling would never choose it and nothing would show its recovery.
-TRIAL_FACTOR = 3.0
-# Seconds between trial requests of one gateway to one server; doubled with each
-# failed trial up to the limit, and an eighth of it after a successful one.
-TRIAL_PERIOD_S = 2.0
-TRIAL_LIMIT_S = 16.0
 # Short requests leave their lane for a server of the long lane only when it looks
 # this many times better, because a long request may follow it there.
 SPILL_FACTOR = 4.0
-# Part of the mean service time after which a refused request finds room again: half of
-# the slots change hands in it.
-ROOM_SHARE = 0.5
-# Random part of the order in which servers are asked for their load; without it all
-# gateways would ask and then load the same ones.
-LOOK_SPREAD = 1.0
-LOOK_ROUNDS = 2
-# Pause before servers are asked again, in seconds; about the time in which one of a
-# few dozen busy slots becomes free.
-LOOK_PAUSE_S = 0.015
-# A server in another failure domain is asked when it looks this many times better,
-# which is about what the way there costs a short request.
-REMOTE_LOOK = 1.1
 # Mean length of answers above which a request stays in its failure domain.
 LARGE_ANSWER_BYTES = 32 * 1024
-# Share of failed requests above which a server is not preferred for its place.
-FAILING_RATE = 0.2
 
-declare_event(
-    300,
-    "server_avoided",
-    "warning",
-    "A backend server is so slow or fails so often that it gets only trial requests.",
-)
-declare_event(
-    301, "server_recovered", "info", "An avoided backend server gets traffic again."
-)
 declare_event(
     302,
     "server_gone",
@@ -105,8 +76,9 @@
         looks: FreshLooks | None = None,
         look_candidates: int = 0,
     ) -> None:
-        self._looks = looks
-        self._look_candidates = look_candidates
+        self._rooms = None
+        if looks is not None and look_candidates:
+            self._rooms = RoomFinder(looks, look_candidates, timers)
         self._table = table
         self._shares = shares
         self._timers = timers
@@ -115,8 +87,7 @@
         self._random = random.Random(seed)
         self._policies: dict[tuple[str, str], Policy] = {}
         self._subsets: dict[str, tuple[int, float, frozenset[str]]] = {}
-        self._avoided: set[str] = set()
-        self._next_scan: dict[str, float] = {}
+        self._trials = Trials()
 
     @classmethod
     def from_config(
@@ -169,59 +140,18 @@
         bool
             Whether a server has room on a quiet host; True when none is asked.
         """
-        if self._looks is None or not self._look_candidates:
-            return True
-        end_s = self._timers.now() + patience_s
-        while not await self._look_once(group, request_class, excluded, deadline_s):
-            if self._timers.now() + LOOK_PAUSE_S > end_s:
-                return False
-            await self._timers.sleep(LOOK_PAUSE_S)
-        return True
-
-    async def _look_once(
-        self,
-        group: str,
-        request_class: str,
-        excluded: Collection[str],
-        deadline_s: float,
-    ) -> bool:
-        assert self._looks is not None
-        members = self._find_members(group, excluded)
-        near = self._list_near(group, request_class, members)
-        if near and await self._look_among(near, group, request_class, deadline_s):
+        if self._rooms is None:
             return True
-        return await self._look_among(members, group, request_class, deadline_s)
 
-    async def _look_among(
-        self,
-        members: list[ServerView],
-        group: str,
-        request_class: str,
-        deadline_s: float,
-    ) -> bool:
-        assert self._looks is not None
-        good = [view for view in members if self._looks.is_good(view)]
-        if good or not members:
-            return bool(good)
-        choice = self._build_choice(group, request_class, deadline_s)
-        scored = sorted(
-            (self._score_look(view, choice), index)
-            for index, view in enumerate(members)
+        def list_stages() -> list[list[ServerView]]:
+            members = self._find_members(group, excluded)
+            return [self._list_near(group, request_class, members), members]
+
+        return await self._rooms.find(
+            list_stages,
+            lambda: self._build_choice(group, request_class, deadline_s),
+            patience_s,
         )
-        ordered = [members[index] for _, index in scored]
-        count = self._look_candidates
-        for first in range(0, LOOK_ROUNDS * count, count):
-            # Where all of the first ones are busy, the next ones may not be.
-            chosen = ordered[first : first + count]
-            if chosen and await self._looks.look(chosen):
-                return True
-        return False
-
-    def _score_look(self, view: ServerView, choice: Choice) -> float:
-        """Return a score that spreads the looks over servers of about equal worth."""
-        remote = view.server.failure_domain != choice.failure_domain
-        spread = 1 + LOOK_SPREAD * choice.random.random()
-        return score(view, choice) * spread * (REMOTE_LOOK if remote else 1.0)
 
     def choose(
         self,
@@ -272,46 +202,18 @@
         if not policy.ranks_servers:
             return policy.choose(members, choice)
         if trial and not excluded:
-            due = self._find_trial(group, members, choice)
+            due = self._trials.find(group, members, choice)
             if due is not None:
                 return due
         near = self._list_near(group, request_class, members)
-        if self._looks is not None:
-            known = self._list_known(members, choice, self._looks)
+        if self._rooms is not None:
+            known = self._rooms.list_known(members, choice)
             known = [view for view in known if view in near] or known
             if known:
                 return min(known, key=lambda view: score(view, choice))
         members = near or members
         return self._choose_in_lane(group, members, choice, policy)
 
-    def _list_known(
-        self, members: list[ServerView], choice: Choice, looks: FreshLooks
-    ) -> list[ServerView]:
-        """Return the servers that fresh reports speak for, none without reports.
-
-        Raises
-        ------
-        RefusedError
-            If as many servers as a request asks were found full just now. One more
-            request would slow all others on its server and come late itself.
-        """
-        good = [view for view in members if looks.is_good(view)]
-        if good:
-            return good
-        fresh = [view for view in members if looks.is_fresh(view)]
-        free = [view for view in fresh if looks.has_room(view)]
-        if fresh and not free:
-            asked = min(len(members), LOOK_ROUNDS * self._look_candidates)
-            if len(fresh) >= asked:
-                raise RefusedError(
-                    "all servers that were asked are full",
-                    "retry after the stated delay",
-                    kind="saturated",
-                    retry_after_s=ROOM_SHARE * choice.mean_s,
-                )
-        # Two of fresh reports say more than four of old ones.
-        return free if len(fresh) > 1 else []
-
     def expect_service(self, group: str, request_class: str) -> float:
         """Return the mean time that a request of a class takes, in seconds."""
         return self._table.costs.mean_s(group, request_class, 0.0)
@@ -349,8 +251,7 @@
                     self._table.costs.observe_size(
                         group, request_class, outcome.answer_bytes
                     )
-        if view.server_id in self._avoided:
-            self._finish_trial(view, failed)
+        self._trials.finish(view, failed)
 
     def observe_report(self, view: ServerView, report: LoadReport) -> None:
         """Take the load report of a response.
@@ -391,7 +292,7 @@
             for view in members
             if view.server.failure_domain == self._failure_domain
             and view.estimate_in_flight(now) < view.slots
-            and view.error_rate(now) < FAILING_RATE
+            and not view.is_failing(now)
         ]
 
     def _members(self, group: str) -> list[ServerView]:
@@ -455,41 +356,3 @@
             if SPILL_FACTOR * score(other, choice) < score(best, choice):
                 return other
         return best
-
-    def _find_trial(
-        self, group: str, members: list[ServerView], choice: Choice
-    ) -> ServerView | None:
-        if choice.now < self._next_scan.get(group, 0.0):
-            return None
-        self._next_scan[group] = choice.now + 0.1
-        for view in members:
-            if self._is_avoidable(view, choice):
-                if view.server_id not in self._avoided:
-                    self._avoided.add(view.server_id)
-                    view.trial_at = choice.now
-                    view.trial_failures = 0
-                    log_event(300, server=view.server_id, group=group)
-                elif view.in_flight == 0 and choice.now >= view.trial_at + min(
-                    TRIAL_LIMIT_S, TRIAL_PERIOD_S * 2**view.trial_failures
-                ):
-                    view.trial_at = choice.now
-                    return view
-            elif view.server_id in self._avoided:
-                self._avoided.discard(view.server_id)
-                log_event(301, server=view.server_id, group=group)
-        return None
-
-    def _is_avoidable(self, view: ServerView, choice: Choice) -> bool:
-        latency_s = view.estimate_latency(
-            choice.request_class, choice.now, choice.mean_s, choice.tail_s
-        )
-        errors = view.error_rate(choice.now)
-        cost_s = (1 - errors) * latency_s + errors * choice.deadline_s
-        return cost_s > TRIAL_FACTOR * choice.mean_s
-
-    def _finish_trial(self, view: ServerView, failed: bool) -> None:
-        if failed:
-            view.trial_failures = min(8, view.trial_failures + 1)
-            return
-        view.forgive()
-        view.trial_failures = -3
--- a/src/geraniumbend/routing/_table.py
+++ b/src/geraniumbend/routing/_table.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from geraniumbend.routing._costs import RequestCosts
 from geraniumbend.routing._lanes import LaneTable
@@ -20,14 +20,33 @@
 # Servers that appear this soon after the first update, in seconds, ran before this
 # gateway did; they are known by gossip only a little later than the others.
 WARM_S = 5.0
-# Mean utilization of a group is computed anew after this time in seconds.
-UTILIZATION_PERIOD_S = 0.05
+# The load of a group is computed anew after this time in seconds.
+LOAD_PERIOD_S = 0.05
 # A report counts by 1/e at this age in the utilization of a group, in seconds.
 REPORT_WEIGHT_S = 0.3
 # Reports older than this, in seconds, do not count in the utilization of a group.
 REPORT_LIFE_S = 2.0
 
 
+class _GroupLoad(NamedTuple):
+    """Load of a group by the reports of its members.
+
+    Parameters
+    ----------
+    at : float
+        Time of the computation, in seconds.
+    utilization, typical : float
+        Mean and median of requests per slot.
+    slowdown : float
+        How many times longer than usual work takes on a typical host.
+    """
+
+    at: float
+    utilization: float
+    typical: float
+    slowdown: float
+
+
 class ServerTable:
     """Members of all groups, with this gateway's view of each backend server.
 
@@ -50,7 +69,7 @@
         self._members: dict[str, dict[str, ServerView]] = {}
         self._announced: dict[str, tuple[BackendServer, Labels | None]] = {}
         self._available: dict[str, list[ServerView]] = {}
-        self._utilization: dict[str, tuple[float, float, float]] = {}
+        self._loads: dict[str, _GroupLoad] = {}
         self.configuration: Configuration | None = None
 
     def update(
@@ -109,7 +128,7 @@
                 self._available[group] = [
                     view for view in members.values() if not view.draining
                 ]
-        self._utilization.clear()
+        self._loads.clear()
         self.version += 1
 
     def views(self, group: str) -> list[ServerView]:
@@ -138,7 +157,7 @@
 
     def utilization(self, group: str) -> float:
         """Return reported requests per slot over the members with fresh reports."""
-        return self._measure(group)[1]
+        return self._measure(group).utilization
 
     def typical_utilization(self, group: str) -> float:
         """Return the median reported utilization, at most 1.
@@ -146,24 +165,22 @@
         The bound keeps one false report from making the servers without a report
         look full.
         """
-        return self._measure(group)[2]
+        return self._measure(group).typical
 
     def typical_slowdown(self, group: str) -> float:
         """Return the mean reported slowdown of a group's members, at least 1."""
-        reported = [
-            view.report.slowdown
-            for view in self.available(group)
-            if view.report is not None and view.report.slowdown is not None
-        ]
-        return max(1.0, sum(reported) / len(reported)) if reported else 1.0
-
-    def _measure(self, group: str) -> tuple[float, float, float]:
+        return self._measure(group).slowdown
+
+    def _measure(self, group: str) -> _GroupLoad:
         now = self._timers.now()
-        known = self._utilization.get(group)
-        if known is not None and now - known[0] < UTILIZATION_PERIOD_S:
+        known = self._loads.get(group)
+        if known is not None and now - known.at < LOAD_PERIOD_S:
             return known
         loads = []
+        slowdowns = []
         for view in self.available(group):
+            if view.report is not None and view.report.slowdown is not None:
+                slowdowns.append(view.report.slowdown)
             reported = view.reported_in_flight()
             age_s = now - view.report_at
             if reported is not None and age_s < REPORT_LIFE_S:
@@ -175,8 +192,9 @@
             total = sum(weight for _, weight in loads)
             mean = sum(load * weight for load, weight in loads) / total
             typical = min(1.0, loads[len(loads) // 2][0])
-        self._utilization[group] = (now, mean, typical)
-        return self._utilization[group]
+        slowdown = max(1.0, sum(slowdowns) / len(slowdowns)) if slowdowns else 1.0
+        self._loads[group] = _GroupLoad(now, mean, typical, slowdown)
+        return self._loads[group]
 
     def _update_selectors(self, configuration: Configuration) -> dict[str, object]:
         changed: dict[str, object] = {}
--- a/src/geraniumbend/routing/_views.py
+++ b/src/geraniumbend/routing/_views.py
@@ -27,6 +27,8 @@
 # Weight of one more outcome in the error rate, and its time constant in seconds.
 ERROR_WEIGHT = 0.15
 ERROR_DECAY_S = 8.0
+# Share of failed requests above which a server is used only when no other has room.
+FAILING_RATE = 0.2
 # A restarted server reaches full weight after this many seconds.
 RAMP_S = 10.0
 RAMP_FLOOR = 0.1
@@ -230,6 +232,10 @@
         idle = max(0.0, now - self._error_at)
         return self._error_rate * math.exp(-idle / ERROR_DECAY_S)
 
+    def is_failing(self, now: float) -> bool:
+        """Tell whether too many recent requests failed, however idle the server is."""
+        return self.error_rate(now) >= FAILING_RATE
+
     def forgive(self) -> None:
         """Quarter the error rate after a successful trial request."""
         self._error_rate /= 4
--- a/tests/routing/test_looks.py
+++ b/tests/routing/test_looks.py
@@ -7,7 +7,13 @@
 from contextlib import suppress
 
 from geraniumbend.errors import RefusedError
-from geraniumbend.routing import FreshLooks, LoadReport, Router, ServerTable
+from geraniumbend.routing import (
+    FreshLooks,
+    LoadReport,
+    Outcome,
+    Router,
+    ServerTable,
+)
 from geraniumbend.routing._looks import BURST_LOOKS, SAVING_S
 from geraniumbend.timers import LoopTimers, ManualTimers
 from tests.fakes import FakeShares, build_configuration, build_servers
@@ -90,6 +96,21 @@
         self.assertEqual(caught.exception.run, "not_run")
         self.assertGreater(caught.exception.retry_after_s, 0.0)
 
+    async def test_server_that_fails_fast_gets_nothing_for_being_idle(self):
+        """Guards against orders lost on a server that is idle because it fails."""
+        self.build(3)
+        view = self.table.view("s0")
+        for _ in range(3):
+            self.router.start_request(view, "c")
+            self.router.finish_request(view, "c", Outcome(500, 0.001))
+        self.loads.update(s0=(0, 1.0), s1=(2, 1.0), s2=(2, 1.0))
+        chosen = [await self.choose_unsafe() for _ in range(20)]
+        self.assertNotIn("s0", chosen)
+
+    async def choose_unsafe(self):
+        await self.router.look("g", "c", (), 0.3)
+        return self.router.choose("g", "c", (), 0.3, trial=False).server_id
+
     async def test_free_slot_on_a_noisy_host_is_used_when_no_other_is(self):
         self.build(2)
         self.loads.update(s0=(4, 1.0), s1=(3, 5.0))
