Use smaller subsets of large groups, and a guard that one false report does not move

The guard of admission followed the mean, which one server with a false report can move. Change: subsets above 32 members instead of 100; the guard follows the lower of mean and median; the build replaces the program only when it differs, since running processes read it when they start again; answers that arrive together at a start are all taken note of.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,6 +10,10 @@
     python3 -m compileall -q "$deps" || true
     touch "$deps/.installed"
 fi
-rm -rf "$deps/geraniumbend"
-cp -r src/geraniumbend "$deps/geraniumbend"
-python3 -m compileall -q "$deps/geraniumbend"
+# Processes that run meanwhile read these files when they start again, so they are
+# replaced only by other ones.
+if ! diff -rq -x __pycache__ src/geraniumbend "$deps/geraniumbend" > /dev/null 2>&1; then
+    rm -rf "$deps/geraniumbend"
+    cp -r src/geraniumbend "$deps/geraniumbend"
+    python3 -m compileall -q "$deps/geraniumbend"
+fi
--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -244,7 +244,8 @@
             # Callers are spread unevenly over gateways, and shares follow seconds
             # later; while the servers report room, nobody has to wait for a share.
             lane.limit = max(lane.limit, self._table.slots(lane.group))
-        level = lane.level.update(lane.slots, utilization, lane.running, now)
+        crowding = self._table.crowding(lane.group)
+        level = lane.level.update(lane.slots, utilization, lane.running, now, crowding)
         refusing = level < 1 if not lane.refusing else level < 1.1
         if refusing != lane.refusing:
             lane.refusing = refusing
@@ -255,6 +256,7 @@
                 level=round(level, 3),
                 guard=round(lane.level.guard, 3),
                 utilization=round(utilization, 3),
+                crowding=round(crowding, 3),
                 slots=round(lane.slots, 2),
             )
 
--- a/src/geraniumbend/admission/_levels.py
+++ b/src/geraniumbend/admission/_levels.py
@@ -63,6 +63,7 @@
         utilization: float,
         running: int,
         now: float,
+        crowding: float = 0.0,
     ) -> float:
         """Compute the level anew.
 
@@ -76,6 +77,8 @@
             Requests of this gateway in flight.
         now : float
             Present time in seconds.
+        crowding : float, default=0.0
+            Requests per slot on most servers of the group; 0 when unknown.
 
         Returns
         -------
@@ -96,16 +99,16 @@
         busy = utilization if utilization > 0 else running / max(slots, 1.0)
         if busy < IDLE_UTILIZATION:
             self.value = max(1.0, self.value)
-        self._guard(utilization)
+        self._guard(crowding)
         self.value = min(self.value, self.guard)
         return self.value
 
-    def _guard(self, utilization: float) -> None:
+    def _guard(self, crowding: float) -> None:
         """Follow the utilization that the servers report, whatever demand says."""
-        if utilization <= 0:
+        if crowding <= 0:
             self.guard = HIGHEST_GUARD
             return
-        step = GUARD_GAIN * (GUARD_TARGET - utilization)
+        step = GUARD_GAIN * (GUARD_TARGET - crowding)
         self.guard = min(HIGHEST_GUARD, max(LOWEST_GUARD, self.guard + step))
 
     def _correct(self, utilization: float) -> None:
--- a/src/geraniumbend/configuration/_follower.py
+++ b/src/geraniumbend/configuration/_follower.py
@@ -175,6 +175,9 @@
                 if not poll.done():
                     self._failed.add(host)
                     poll.cancel()
+                elif not poll.cancelled():
+                    # A second answer or failure that came with the first answer.
+                    poll.exception()
         self._failures = 0
 
     async def _wait_for_any(self, polls: Iterable[asyncio.Future[None]]) -> None:
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -7,7 +7,7 @@
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.routing._policies import Choice, Policy, policies, score
 from geraniumbend.routing._rooms import RoomFinder
-from geraniumbend.routing._subsets import choose_subset
+from geraniumbend.routing._subsets import SUBSET_SIZE, choose_subset
 from geraniumbend.routing._trials import Trials
 
 if TYPE_CHECKING:
@@ -297,7 +297,7 @@
 
     def _members(self, group: str) -> list[ServerView]:
         members = self._table.available(group)
-        if len(members) <= 100:
+        if len(members) <= SUBSET_SIZE:
             return members
         share = self._shares.gateway_share()
         known = self._subsets.get(group)
--- a/src/geraniumbend/routing/_subsets.py
+++ b/src/geraniumbend/routing/_subsets.py
@@ -10,7 +10,10 @@
 
     from geraniumbend.routing._views import ServerView
 
-SUBSET_SIZE = 100
+# Servers that one gateway uses at least. Enough to find a quiet host with room among
+# them at a crest, and few enough that a gateway of a large deployment, which sends a
+# group a few requests a second, uses its connections again before they are closed.
+SUBSET_SIZE = 32
 # Gateways that each server is expected to be in the subset of. With 8, a server is
 # left out by every gateway with a probability of about exp(-8).
 COVERAGE = 8.0
@@ -60,8 +63,8 @@
     Returns
     -------
     list of ServerView
-        All members of a group of up to 100; else a deterministic subset of at least
-        100 that is large enough for every server to be used by some gateway.
+        All members of a group of up to `SUBSET_SIZE`; else a deterministic subset of
+        at least that many, large enough for every server to be used by some gateway.
     """
     if len(views) <= SUBSET_SIZE:
         return views
--- a/src/geraniumbend/routing/_table.py
+++ b/src/geraniumbend/routing/_table.py
@@ -35,7 +35,7 @@
     ----------
     at : float
         Time of the computation, in seconds.
-    utilization, typical : float
+    utilization, median : float
         Mean and median of requests per slot.
     slowdown : float
         How many times longer than usual work takes on a typical host.
@@ -43,7 +43,7 @@
 
     at: float
     utilization: float
-    typical: float
+    median: float
     slowdown: float
 
 
@@ -165,7 +165,15 @@
         The bound keeps one false report from making the servers without a report
         look full.
         """
-        return self._measure(group).typical
+        return min(1.0, self._measure(group).median)
+
+    def crowding(self, group: str) -> float:
+        """Return the lower of mean and median of the reported utilization.
+
+        A false report of one server moves the mean only.
+        """
+        load = self._measure(group)
+        return min(load.utilization, load.median)
 
     def typical_slowdown(self, group: str) -> float:
         """Return the mean reported slowdown of a group's members, at least 1."""
@@ -186,14 +194,14 @@
             if reported is not None and age_s < REPORT_LIFE_S:
                 weight = view.slots * math.exp(-age_s / REPORT_WEIGHT_S)
                 loads.append((reported / view.slots, weight))
-        mean = typical = 0.0
+        mean = median = 0.0
         if loads:
             loads.sort()
             total = sum(weight for _, weight in loads)
             mean = sum(load * weight for load, weight in loads) / total
-            typical = min(1.0, loads[len(loads) // 2][0])
+            median = loads[len(loads) // 2][0]
         slowdown = max(1.0, sum(slowdowns) / len(slowdowns)) if slowdowns else 1.0
-        self._loads[group] = _GroupLoad(now, mean, typical, slowdown)
+        self._loads[group] = _GroupLoad(now, mean, median, slowdown)
         return self._loads[group]
 
     def _update_selectors(self, configuration: Configuration) -> dict[str, object]:
--- a/tests/admission/test_levels.py
+++ b/tests/admission/test_levels.py
@@ -5,6 +5,8 @@
 import unittest
 
 from geraniumbend.admission._levels import PERIOD_S, AdmissionLevel
+from geraniumbend.routing import LoadReport, ServerTable
+from tests.fakes import StepTimers, build_configuration, build_servers
 
 
 class GuardTest(unittest.TestCase):
@@ -17,7 +19,7 @@
         for _ in range(round(seconds / PERIOD_S)):
             self.now += PERIOD_S
             self.level.demand.record(0.1, self.now)
-            value = self.level.update(100.0, utilization, 1, self.now)
+            value = self.level.update(100.0, utilization, 1, self.now, utilization)
         return value
 
     def test_overfilled_servers_lower_the_level_within_half_a_second(self):
@@ -40,3 +42,16 @@
     def test_unknown_utilization_refuses_nothing(self):
         self.run_for(3.0, 3.0)
         self.assertGreaterEqual(self.run_for(0.2, 0.0), 1.0)
+
+
+class CrowdingTest(unittest.TestCase):
+    def test_false_report_of_one_server_crowds_no_group(self):
+        """Guards against a group that is closed by one server's false report."""
+        timers = StepTimers()
+        table = ServerTable(timers)
+        table.update(build_servers(5, 4), build_configuration())
+        for index in range(5):
+            report = LoadReport(40 if index == 0 else 2, 4)
+            table.view(f"s{index}").observe_report(report, timers.now())
+        self.assertGreater(table.utilization("g"), 1.0)
+        self.assertEqual(table.crowding("g"), 0.5)
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -5,6 +5,7 @@
 
 from geraniumbend.errors import RefusedError
 from geraniumbend.routing import LoadReport, Outcome, Router, ServerTable
+from geraniumbend.routing._subsets import SUBSET_SIZE
 from tests.fakes import FakeShares, StepTimers, build_configuration, build_servers
 
 GOOD = Outcome(status=200, latency_s=0.1)
@@ -135,7 +136,7 @@
     def test_large_group_is_cut_to_a_deterministic_subset(self):
         self.build(count=400, policy="random", gateways=100)
         first = {self.choose().server_id for _ in range(3000)}
-        self.assertEqual(len(first), 100)
+        self.assertEqual(len(first), SUBSET_SIZE)
         self.assertEqual({self.choose().server_id for _ in range(3000)}, first)
 
     def test_subsets_of_few_gateways_cover_a_large_group(self):
