Let the soak wait until a wiped control host is a voter again

Two of three disks were lost at once, one more than the settings of the soak tolerate. Change: the wipe ends when the host is a voter again; after 30 s without that it is reported.

--- a/bench/_soak.py
+++ b/bench/_soak.py
@@ -29,6 +29,8 @@
 SOAK_S = 25.0
 HEAL_S = 6.0
 CHECK_S = 3.0
+# Longest time until a control host that lost its disk is a voter again.
+READMITTED_S = 30.0
 # Share of idempotent requests that succeed once all faults are over.
 RECOVERED_SHARE = 0.95
 REQUEST_TIMEOUT_S = 2.0
@@ -131,6 +133,24 @@
         if number == signal.SIGTERM and code != 0 and not loading:
             self.ledger.report("shutdown", f"{host} ended with {code}")
 
+    async def wait_readmitted(self, host: Host) -> None:
+        """Wait until a control host that lost its disk is a voter again."""
+        end_s = time.monotonic() + READMITTED_S
+        while not self._is_readmitted(host):
+            if time.monotonic() > end_s:
+                self.ledger.report("recovery", f"{host} is no voter again")
+                return
+            await asyncio.sleep(0.2)
+
+    def _is_readmitted(self, host: Host) -> bool:
+        """Tell by the member lists in its log, which begin with the first one."""
+        own = f'"{host.ip}:{self._ports["peer"]}": '
+        text = (self.folder / f"{host.role}-{host.number}.log").read_bytes()
+        lines = text[self._log_sizes[host] :].decode().splitlines()
+        lists = [line for line in lines if '"event": 504' in line]
+        learnt = any(f'{own}"learner"' in line for line in lists)
+        return learnt and f'{own}"voter"' in lists[-1]
+
     def _has_logged(self, host: Host) -> bool:
         """Tell whether a process got as far as its first line.
 
--- a/bench/_soak_faults.py
+++ b/bench/_soak_faults.py
@@ -38,7 +38,7 @@
         shutil.rmtree(soak.folder / f"data-{host.number}", ignore_errors=True)
         await soak.start_process(host)
         # The settings name one loss at a time, until it has caught up.
-        await asyncio.sleep(4.0)
+        await soak.wait_readmitted(host)
         soak.catching_up = False
 
 
