Let only one fault of the soak end and start a host at a time

Its log goes on for 25 s under the same number: one fault had sent SIGTERM to the host, another one SIGKILL, and both started it again, so that one of the two processes was left running. Change: a host that is being ended is not picked by other faults.

--- a/bench/_soak.py
+++ b/bench/_soak.py
@@ -70,6 +70,8 @@
         # A control host has lost its disk and is not a member again yet.
         self.catching_up = False
         self._log_sizes: dict[Host, int] = {}
+        # Two faults must not end and start the process of one host.
+        self._ending: set[Host] = set()
         self.ledger = Ledger()
         self.folder = Path(tempfile.mkdtemp(prefix="geraniumbend-soak-"))
         self.hosts = [Host(number, "control") for number in CONTROLS]
@@ -126,9 +128,11 @@
     async def end_process(self, host: Host, number: int) -> None:
         """Send a signal that ends a process and wait for its end."""
         process = self._running[host]
+        self._ending.add(host)
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(number)
         code = await process.wait()
+        self._ending.discard(host)
         loading = code == -signal.SIGTERM and not self._has_logged(host)
         if number == signal.SIGTERM and code != 0 and not loading:
             self.ledger.report("shutdown", f"{host} ended with {code}")
@@ -249,7 +253,7 @@
 
     def pick(self, role: str) -> Host | None:
         """Return a host whose process runs, but never so many that a majority ends."""
-        alive = [host for host in self.hosts if self.runs(host)]
+        alive = [h for h in self.hosts if self.runs(h) and h not in self._ending]
         hosts = [host for host in alive if host.role == role]
         return self.random.choice(hosts) if len(hosts) == 3 else None
 
