Keep requests in the failure domain of the gateway while it has free slots

Change: servers of the own domain are probed first, others only if none of these is lightly loaded; half of a subset is local; slow start competes in a share of time slices; ties between idle servers are broken at random.

--- a/src/geraniumbend/routing/_free_slot_finder.py
+++ b/src/geraniumbend/routing/_free_slot_finder.py
@@ -23,9 +23,6 @@
 # Pause before servers are probed again, in seconds; about the time in which one of a
 # few dozen busy slots becomes free.
 PROBE_PAUSE_S = 0.015
-# Factor on the scores of servers in another failure domain when servers are ordered for
-# probing; about what the round trip there costs a short request.
-REMOTE_FACTOR = 1.1
 
 
 class FreeSlotFinder:
@@ -50,17 +47,19 @@
 
     async def find(
         self,
-        list_stages: Callable[[], list[list[ServerView]]],
+        list_members: Callable[[], list[ServerView]],
         build_context: Callable[[], SelectionContext],
         max_wait_s: float,
     ) -> bool:
         """Probe servers until one of them is lightly loaded.
 
+        Servers of other failure domains are probed only if no server of the gateway's
+        own domain is lightly loaded, since bandwidth between domains is scarce.
+
         Parameters
         ----------
-        list_stages : callable
-            Returns lists of servers. Those of a later list are probed if none of the
-            earlier ones is lightly loaded.
+        list_members : callable
+            Returns the servers that may get the request.
         build_context : callable
             Returns the request and the state of its group at the present time.
         max_wait_s : float
@@ -73,9 +72,14 @@
         """
         end_s = self._timers.now() + max_wait_s
         while True:
-            for members in list_stages():
-                if await self._probe_members(members, build_context()):
-                    return True
+            context = build_context()
+            members = self._prefer_healthy(list_members())
+            local = _list_local(members, context)
+            if await self._probe_members(local, context):
+                return True
+            remote = [view for view in members if view not in local]
+            if await self._probe_members(remote, build_context()):
+                return True
             if self._timers.now() + PROBE_PAUSE_S > end_s:
                 return False
             await self._timers.sleep(PROBE_PAUSE_S)
@@ -85,8 +89,9 @@
     ) -> list[ServerView]:
         """Return the servers that are fit for a request by their fresh reports.
 
-        These are the lightly loaded servers, else those with a free slot. The list is
-        empty if there are too few fresh reports or none shows a free slot.
+        These are the lightly loaded servers, else those with a free slot; of these, the
+        servers in the gateway's own failure domain if there are any. The list is empty
+        if there are too few fresh reports or none shows a free slot.
 
         Raises
         ------
@@ -99,7 +104,8 @@
             view for view in members if self._on_demand_probes.is_lightly_loaded(view)
         ]
         if lightly_loaded:
-            return self._prefer_healthy(lightly_loaded)
+            usable = self._prefer_healthy(lightly_loaded)
+            return _list_local(usable, context) or usable
         fresh = [
             view for view in members if self._on_demand_probes.has_fresh_report(view)
         ]
@@ -114,7 +120,10 @@
             )
         # Two servers with fresh reports are a better choice than four with old ones,
         # which the routing policy would sample.
-        return self._prefer_healthy(free) if len(fresh) > 1 else []
+        if len(fresh) < 2:
+            return []
+        usable = self._prefer_healthy(free)
+        return _list_local(usable, context) or usable
 
     def _prefer_healthy(self, views: list[ServerView]) -> list[ServerView]:
         """Leave out failing servers, which may seem idle, unless all are failing."""
@@ -124,7 +133,6 @@
     async def _probe_members(
         self, members: list[ServerView], context: SelectionContext
     ) -> bool:
-        members = self._prefer_healthy(members)
         lightly_loaded = [
             view for view in members if self._on_demand_probes.is_lightly_loaded(view)
         ]
@@ -143,8 +151,12 @@
         return False
 
 
+def _list_local(views: list[ServerView], context: SelectionContext) -> list[ServerView]:
+    """Return the servers in the gateway's own failure domain."""
+    domain = context.failure_domain
+    return [view for view in views if view.server.failure_domain == domain]
+
+
 def _score_for_probe(view: ServerView, context: SelectionContext) -> float:
     """Return a randomized score, which spreads probes over similar servers."""
-    remote = view.server.failure_domain != context.failure_domain
-    spread = 1 + PROBE_ORDER_JITTER * context.random.random()
-    return score(view, context) * spread * (REMOTE_FACTOR if remote else 1.0)
+    return score(view, context) * (1 + PROBE_ORDER_JITTER * context.random.random())
--- a/src/geraniumbend/routing/_policies.py
+++ b/src/geraniumbend/routing/_policies.py
@@ -97,10 +97,7 @@
         is higher by no more than `CROSS_DOMAIN_HOP_S`.
         """
         scored = [(score(view, context), view) for view in _sample(candidates, context)]
-        lowest, best = min(
-            scored,
-            key=lambda entry: entry[0] * (1 + SCORE_JITTER * context.random.random()),
-        )
+        lowest, best = min(scored, key=lambda entry: add_jitter(entry[0], context))
         domain = context.failure_domain
         if domain and best.server.failure_domain != domain:
             limit = lowest + CROSS_DOMAIN_HOP_S
@@ -185,7 +182,12 @@
     latency_s *= view.estimate_slowdown(now, context.slowdown) / context.slowdown
     errors = max(0.0, view.error_rate(now) - TOLERATED_ERROR_RATE)
     cost_s = (1 - errors) * latency_s + errors * max(context.deadline_s, latency_s)
-    return load * cost_s / view.ramp_weight(now)
+    return load * cost_s / view.draw_ramp_weight(now, context.random)
+
+
+def add_jitter(value: float, context: SelectionContext) -> float:
+    """Return a score with a random increase of up to `SCORE_JITTER`."""
+    return value * (1 + SCORE_JITTER * context.random.random())
 
 
 def _sample(
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -6,7 +6,13 @@
 from geraniumbend.errors import RefusedError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.routing._free_slot_finder import FreeSlotFinder
-from geraniumbend.routing._policies import Policy, SelectionContext, policies, score
+from geraniumbend.routing._policies import (
+    Policy,
+    SelectionContext,
+    add_jitter,
+    policies,
+    score,
+)
 from geraniumbend.routing._subsets import SUBSET_SIZE, choose_subset
 from geraniumbend.routing._trial_requests import TrialRequests
 
@@ -148,12 +154,8 @@
         if self._free_slot_finder is None:
             return True
 
-        def list_stages() -> list[list[ServerView]]:
-            members = self._list_candidates(group, excluded)
-            return [self._list_local(group, request_class, members), members]
-
         return await self._free_slot_finder.find(
-            list_stages,
+            lambda: self._list_candidates(group, excluded),
             lambda: self._build_context(group, request_class, deadline_s),
             max_wait_s,
         )
@@ -211,13 +213,13 @@
             due = self._trial_requests.find_due(group, members, context)
             if due is not None:
                 return due
-        local = self._list_local(group, request_class, members)
         if self._free_slot_finder is not None:
             usable = self._free_slot_finder.list_usable(members, context)
-            usable = [view for view in usable if view in local] or usable
             if usable:
-                return min(usable, key=lambda view: score(view, context))
-        members = local or members
+                return min(
+                    usable, key=lambda view: add_jitter(score(view, context), context)
+                )
+        members = self._list_local(group, request_class, members) or members
         return self._choose_from_pools(group, members, context, policy)
 
     def estimate_service_s(self, group: str, request_class: str) -> float:
@@ -313,7 +315,9 @@
         share = self._shares.gateway_share()
         cached = self._subsets.get(group)
         if cached is None or cached[:2] != (self._table.version, share):
-            subset = choose_subset(self._node, group, members, share)
+            subset = choose_subset(
+                self._node, group, members, share, self._failure_domain
+            )
             names = frozenset(view.server_id for view in subset)
             cached = self._subsets[group] = (self._table.version, share, names)
         return [view for view in members if view.server_id in cached[2]]
--- a/src/geraniumbend/routing/_server_views.py
+++ b/src/geraniumbend/routing/_server_views.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Iterable
 
     from geraniumbend.model import BackendServer
@@ -36,6 +37,10 @@
 # Slow start: the weight of a new server grows from RAMP_FLOOR to 1 in RAMP_S seconds.
 RAMP_S = 10.0
 RAMP_FLOOR = 0.1
+# Length of the time slices of slow start, in seconds. In a share of the slices equal to
+# its weight, a new server competes like the others. A low weight alone would rank it
+# behind every idle server, so it would get nothing while the group is lightly loaded.
+RAMP_SLICE_S = 0.05
 
 
 class Outcome(NamedTuple):
@@ -104,6 +109,8 @@
         self.trial_failures = 0
         self.reports_exclude_sender = False
         self._own_in_flight_at_report = 0
+        self._ramp_slice = -1
+        self._ramp_slice_admits = True
         self._error_rate = 0.0
         self._error_at = now
         self._latencies: dict[str, _LatencyEstimate] = {}
@@ -294,6 +301,27 @@
         """Return the slow-start weight of the server, from `RAMP_FLOOR` to 1."""
         return min(1.0, max(RAMP_FLOOR, (now - self.first_seen) / RAMP_S))
 
+    def draw_ramp_weight(self, now: float, rng: random.Random) -> float:
+        """Return 1 in a share of time slices equal to the slow-start weight.
+
+        In the other slices the slow-start weight itself is returned.
+
+        Parameters
+        ----------
+        now : float
+            Present time in seconds.
+        rng : random.Random
+            Decides once for each time slice.
+        """
+        weight = self.ramp_weight(now)
+        if weight >= 1.0:
+            return 1.0
+        current = int(now / RAMP_SLICE_S)
+        if current != self._ramp_slice:
+            self._ramp_slice = current
+            self._ramp_slice_admits = rng.random() < weight
+        return 1.0 if self._ramp_slice_admits else weight
+
     def _update_latency(self, request_class: str, latency_s: float, now: float) -> None:
         report = self.report
         if report is not None and report.slowdown and now - self.report_at < 0.01:
--- a/src/geraniumbend/routing/_subsets.py
+++ b/src/geraniumbend/routing/_subsets.py
@@ -15,6 +15,9 @@
 # they are closed: a gateway of a large deployment sends a group only a few requests a
 # second.
 SUBSET_SIZE = 32
+# Share of a subset that comes from the gateway's own failure domain, if that domain has
+# so many servers. The others take over what the domain has no free slots for.
+LOCAL_SHARE = 0.5
 # Mean number of gateways whose subset contains a given server. With 8, the probability
 # that a server is in no subset is about exp(-8).
 COVERAGE = 8.0
@@ -46,7 +49,11 @@
 
 
 def choose_subset(
-    node: str, group: str, views: list[ServerView], gateway_share: float
+    node: str,
+    group: str,
+    views: list[ServerView],
+    gateway_share: float,
+    failure_domain: str = "",
 ) -> list[ServerView]:
     """Return the servers of a large group that one gateway uses.
 
@@ -60,6 +67,8 @@
         Members of the group.
     gateway_share : float
         One divided by the number of live gateways.
+    failure_domain : str, default=""
+        Failure domain of the gateway; empty if it prefers none.
 
     Returns
     -------
@@ -72,4 +81,8 @@
         return views
     covering = math.ceil(len(views) * min(1.0, COVERAGE * gateway_share))
     size = max(SUBSET_SIZE, covering)
-    return order_by_rendezvous(f"{node}\0{group}", views)[:size]
+    ordered = order_by_rendezvous(f"{node}\0{group}", views)
+    local = [view for view in ordered if view.server.failure_domain == failure_domain]
+    chosen = local[: int(size * LOCAL_SHARE)] if failure_domain else []
+    others = [view for view in ordered if view not in chosen]
+    return chosen + others[: size - len(chosen)]
