Keep gossip in failure domains and exchange one sum for each domain

Change: changes spread within a domain and by a few random messages between domains; one gateway of each domain publishes its sums; probes and anti-entropy are local for the most part. RateTotals replaces the two sums of shares and retry budget.

--- a/src/geraniumbend/membership/__init__.py
+++ b/src/geraniumbend/membership/__init__.py
@@ -7,12 +7,12 @@
 from geraniumbend.membership._gateway_shares import GatewayShares
 from geraniumbend.membership._members import Member
 from geraniumbend.membership._membership import Membership, MembershipOptions
-from geraniumbend.membership._records import DOMAIN_SCOPE_NODES, RETRY_EARNINGS
+from geraniumbend.membership._rate_totals import RateTotals, has_changed
+from geraniumbend.membership._records import RETRY_EARNINGS
 from geraniumbend.membership._server_records import AnnouncedLoad, Announcement
 from geraniumbend.membership._server_records_file import ServerRecordsFile
 
 __all__ = [
-    "DOMAIN_SCOPE_NODES",
     "RETRY_EARNINGS",
     "Announcement",
     "AnnouncementApi",
@@ -23,4 +23,6 @@
     "Membership",
     "MembershipOptions",
     "GatewayShares",
+    "RateTotals",
+    "has_changed",
 ]
--- a/src/geraniumbend/membership/_failure_detector.py
+++ b/src/geraniumbend/membership/_failure_detector.py
@@ -11,12 +11,14 @@
     import random
 
     from geraniumbend.membership._gossip import Gossip
+    from geraniumbend.membership._gossip_peers import GossipPeers
     from geraniumbend.membership._members import Member, MemberTable
     from geraniumbend.timers import Subscription, TimerService
 
 PROBE_PERIOD_S = 0.5
-# Up to this number of nodes, each node probes two members per period. The second probe
-# costs 0.4 KB/s; without it no node probes one dead node in three in the first period.
+# Up to this number of nodes, each node probes two members of its failure domain per
+# period. The second probe costs 0.4 KB/s; without it no node probes one dead node in
+# three in the first period.
 SMALL_CLUSTER_NODES = 64
 # Both timeouts together fit into one period. The direct timeout is far above the round
 # trip of 1 ms between failure domains.
@@ -39,6 +41,8 @@
     ----------
     members : MemberTable
         States of the processes.
+    peers : GossipPeers
+        Peers by failure domain.
     gossip : Gossip
         Sends messages.
     timers : TimerService
@@ -50,18 +54,20 @@
     def __init__(
         self,
         members: MemberTable,
+        peers: GossipPeers,
         gossip: Gossip,
         timers: TimerService,
         rng: random.Random,
     ) -> None:
         self._members = members
+        self._peers = peers
         self._gossip = gossip
         self._timers = timers
         self._rng = rng
         self._sequence_numbers = itertools.count(1)
         self._pending_acks: dict[int, asyncio.Future[None]] = {}
         self._relayed_pings: dict[int, tuple[str, int]] = {}
-        self._probe_order: list[str] = []
+        self._probe_orders: dict[bool, list[str]] = {True: [], False: []}
         self._suspicion_timers: dict[str, tuple[int, Subscription]] = {}
         self._subscriptions: list[Subscription] = []
         self._probes: list[asyncio.Task[None]] = []
@@ -104,22 +110,29 @@
 
     def _probe_next(self) -> None:
         self._probes = [probe for probe in self._probes if not probe.done()]
+        local = self._peers.list_local()
         count = 2 if len(self._members.live()) <= SMALL_CLUSTER_NODES else 1
-        for _ in range(count):
-            member = self._next_target()
+        targets = [self._next_target(local, is_local=True) for _ in range(count)]
+        if self._peers.is_remote_probe_due():
+            # The nodes of a domain find their own dead ones. Probes between domains
+            # find a domain that is lost or cut off as a whole.
+            remote = self._peers.list_remote()
+            targets.append(self._next_target(remote, is_local=False))
+        for member in targets:
             if member is not None:
                 # The next period must not wait for a peer that does not respond.
                 self._probes.append(asyncio.ensure_future(self._probe(member)))
 
-    def _next_target(self) -> Member | None:
-        live = {member.name: member for member in self._members.live()}
+    def _next_target(self, members: list[Member], is_local: bool) -> Member | None:
+        live = {member.name: member for member in members}
+        order = self._probe_orders[is_local]
         while True:
-            if not self._probe_order:
-                self._probe_order = list(live)
-                self._rng.shuffle(self._probe_order)
-            if not self._probe_order:
+            if not order:
+                order.extend(live)
+                self._rng.shuffle(order)
+            if not order:
                 return None
-            name = self._probe_order.pop()
+            name = order.pop()
             if name in live:
                 return live[name]
 
--- a/src/geraniumbend/membership/_gateway_shares.py
+++ b/src/geraniumbend/membership/_gateway_shares.py
@@ -3,12 +3,12 @@
 import math
 from typing import TYPE_CHECKING
 
-from geraniumbend.errors import GeraniumbendError
-from geraniumbend.membership._records import DEMAND, DOMAIN_SCOPE_NODES
-from geraniumbend.wire import decode, encode, load_structs
+from geraniumbend.membership._rate_totals import has_changed
+from geraniumbend.membership._records import DEMAND
 
 if TYPE_CHECKING:
     from geraniumbend.membership._membership import Membership
+    from geraniumbend.membership._rate_totals import RateTotals
     from geraniumbend.settings import Settings
     from geraniumbend.timers import TimerService
 
@@ -18,17 +18,12 @@
 GROWTH_TIME_CONSTANT_S = 0.3
 SHRINK_TIME_CONSTANT_S = 5.0
 DEMAND_WINDOW_S = 2.0
-DEMAND_LIFETIME_S = 15.0
 DEMAND_REFRESH_S = 5.0
 DEMAND_PERIOD_S = 0.5
-# Relative and absolute change of demand that is published. Smaller changes would be
-# published because of the noise of request arrivals alone.
-SIGNIFICANT_CHANGE = 0.25
+# Absolute change of demand that is published. Smaller changes would be published because
+# of the noise of request arrivals alone.
 MIN_CHANGE = 0.05
 MIN_RATE = 1e-4
-# A record is limited to 900 bytes; groups beyond those with the highest demand fall
-# back to equal shares.
-MAX_GROUPS = 24
 CACHE_S = 0.05
 
 
@@ -38,7 +33,9 @@
     Parameters
     ----------
     membership : Membership
-        Live gateways and published demand.
+        Live gateways.
+    totals : RateTotals
+        Demand of the other gateways.
     minimum_gateways : int
         Minimum number of gateways to assume.
     timers : TimerService
@@ -46,9 +43,14 @@
     """
 
     def __init__(
-        self, membership: Membership, minimum_gateways: int, timers: TimerService
+        self,
+        membership: Membership,
+        totals: RateTotals,
+        minimum_gateways: int,
+        timers: TimerService,
     ) -> None:
         self._membership = membership
+        self._rate_totals = totals
         self._minimum = max(1, minimum_gateways)
         self._timers = timers
         self._divisor = float(self._minimum)
@@ -63,7 +65,11 @@
 
     @classmethod
     def from_config(
-        cls, settings: Settings, membership: Membership, timers: TimerService
+        cls,
+        settings: Settings,
+        membership: Membership,
+        totals: RateTotals,
+        timers: TimerService,
     ) -> GatewayShares:
         """Build the shares of a gateway.
 
@@ -72,7 +78,9 @@
         settings : Settings
             Settings of the process.
         membership : Membership
-            Live gateways and published demand.
+            Live gateways.
+        totals : RateTotals
+            Demand of the other gateways.
         timers : TimerService
             Clock.
 
@@ -81,7 +89,7 @@
         Shares
             The shares.
         """
-        return cls(membership, settings.peer.minimum_gateways, timers)
+        return cls(membership, totals, settings.peer.minimum_gateways, timers)
 
     def gateway_share(self) -> float:
         """Return 1 / live gateways, smoothed; at most 1 / ``minimum_gateways``."""
@@ -157,50 +165,15 @@
         self._publish(now)
 
     def _publish(self, now: float) -> None:
-        names = sorted(self._rates, key=lambda g: (-self._rates[g], g))[:MAX_GROUPS]
-        rates = {name: self._rates[name] for name in names}
-        changed = any(
-            abs(rates.get(g, 0.0) - self._published_rates.get(g, 0.0))
-            > max(SIGNIFICANT_CHANGE * self._published_rates.get(g, 0.0), MIN_CHANGE)
-            for g in rates.keys() | self._published_rates.keys()
-        )
+        rates = dict(self._rates)
+        changed = has_changed(rates, self._published_rates, MIN_CHANGE)
         due = bool(rates) and now - self._published_at >= DEMAND_REFRESH_S
-        if not (changed or due):
-            return
-        value = encode(load_structs("membership").DemandValue(rates=rates))
-        try:
-            sent = self._membership.publish(DEMAND, "", value, DEMAND_LIFETIME_S)
-        except GeraniumbendError:
-            return
-        if sent:
+        if (changed or due) and self._rate_totals.publish(DEMAND, rates):
             self._published_rates, self._published_at = rates, now
 
     def _other_demand(self, group: str) -> float:
         now = self._timers.now()
         if now - self._totals_at >= CACHE_S:
-            self._totals = self._sum_other_demand()
+            self._totals = self._rate_totals.sum_others(DEMAND)
             self._totals_at = now
         return self._totals.get(group, 0.0)
-
-    def _sum_other_demand(self) -> dict[str, float]:
-        live = set(self._membership.live_gateway_names()) - {self._membership.name}
-        totals: dict[str, float] = {}
-        reporting = 1
-        struct = load_structs("membership").DemandValue
-        for (node, _), value in self._membership.records(DEMAND).items():
-            if node not in live:
-                continue
-            reporting += 1
-            try:
-                rates = decode(struct, value).rates or {}
-            except GeraniumbendError:
-                continue
-            for group, rate in rates.items():
-                if isinstance(group, str) and rate > 0 and math.isfinite(rate):
-                    totals[group] = totals.get(group, 0.0) + rate
-        if len(live) + 1 > DOMAIN_SCOPE_NODES and reporting < len(live) + 1:
-            # Above this size demand is sent only within a failure domain; the total
-            # is extrapolated from the gateways that report it.
-            factor = (len(live) + 1) / reporting
-            return {group: rate * factor for group, rate in totals.items()}
-        return totals
--- a/src/geraniumbend/membership/_gossip.py
+++ b/src/geraniumbend/membership/_gossip.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable, Iterable, Iterator
 
     from geraniumbend.membership._byte_budget import ByteBudget
+    from geraniumbend.membership._gossip_peers import GossipPeers, GossipTarget
     from geraniumbend.membership._records import Identity
     from geraniumbend.ports import DatagramPort
     from geraniumbend.timers import Subscription, TimerService
@@ -30,12 +31,12 @@
 # Ephemeral records are batched over a longer period, because the overhead of a
 # datagram costs as much as two records.
 EPHEMERAL_PERIOD_S = 0.5
-FANOUT = 3
 MAX_MESSAGE_BYTES = 1_200
 # Size of a serialized message without records: type, number, names and address.
 EMPTY_MESSAGE_BYTES = 160
 MAX_QUEUED = 4_096
 DUPLICATE_WEIGHT = 0.5
+MIN_TRANSMISSIONS = 9
 REDUCED_TRANSMISSIONS = 3
 # Fraction of one second's byte budget that gossip leaves to anti-entropy. Without it
 # anti-entropy starves while a cluster starts and each node knows only some others.
@@ -54,9 +55,9 @@
     """Return how many times one node sends a change.
 
     When every node sends a change k times, push gossip misses about e^-k of the nodes;
-    anti-entropy delivers the change to the rest. With k = log2(n) + 2 a change misses
-    one node in several hundred. The minimum is 6, because nodes of a starting cluster
-    know few others. Ephemeral records are superseded soon and are sent 3 times. So are
+    anti-entropy delivers the change to the rest. With k = log2(n) + 3 and at least 9 a
+    change misses one node in several thousand, also where many nodes change at once and
+    where nodes of a starting cluster know few others. Ephemeral records are superseded soon and are sent 3 times. So are
     all changes while many are queued, as when a whole cluster starts: the byte budget
     then limits the spreading, and more copies only delay changes that are not yet
     known.
@@ -66,7 +67,7 @@
     kind : str
         Kind of record.
     nodes : int
-        Number of live processes.
+        Number of live processes of the failure domain.
     queued : int, default=0
         Number of queued changes.
 
@@ -77,7 +78,7 @@
     """
     if kind in EPHEMERAL_KINDS or queued > LONG_QUEUE:
         return REDUCED_TRANSMISSIONS
-    return max(6, math.ceil(math.log2(nodes + 1)) + 2)
+    return max(MIN_TRANSMISSIONS, math.ceil(math.log2(nodes + 1)) + 3)
 
 
 class _QueuedChange:
@@ -124,9 +125,9 @@
         self._queue: dict[Identity, _QueuedChange] = {}
         self._handlers: dict[int, Callable[[str, Any], None]] = {}
         self._merge: Callable[[str, Record], None] = lambda sender, record: None
-        self._list_peers: Callable[[str], list[tuple[str, str]]] = lambda kind: []
         self._lifetime: Callable[[Record], float] = lambda record: record.lifetime_s
         self._check_not_paused: Callable[[], bool] = lambda: True
+        self._peers: GossipPeers | None = None
         self._subscriptions: list[Subscription] = []
         self._suppressed = False
         port.on_receive(self._handle_datagram)
@@ -134,7 +135,7 @@
     def set_callbacks(
         self,
         merge: Callable[[str, Record], None],
-        peers: Callable[[str], list[tuple[str, str]]],
+        peers: GossipPeers,
         lifetime: Callable[[Record], float],
         check_not_paused: Callable[[], bool],
     ) -> None:
@@ -144,15 +145,15 @@
         ----------
         merge : callable
             Takes the sender's name and a received record.
-        peers : callable
-            Returns names and addresses of live peers that receive a kind of record.
+        peers : GossipPeers
+            Chooses the peers that get changes.
         lifetime : callable
             Returns the remaining lifetime of a record in seconds.
         check_not_paused : callable
             Returns whether this process has run without a long pause.
         """
         self._merge = merge
-        self._list_peers = peers
+        self._peers = peers
         self._lifetime = lifetime
         self._check_not_paused = check_not_paused
 
@@ -164,8 +165,8 @@
         """Begin the periodic spreading of changes."""
         every = self._timers.every
         self._subscriptions = [
-            every(GOSSIP_PERIOD_S, self.spread_now, 0.2),
-            every(EPHEMERAL_PERIOD_S, self._spread_ephemeral_now, 0.2),
+            every(GOSSIP_PERIOD_S, self._spread_changes, 0.2),
+            every(EPHEMERAL_PERIOD_S, self._spread_ephemeral, 0.2),
         ]
 
     def stop(self) -> None:
@@ -247,28 +248,33 @@
         return self._transmit(type, address, records, fields)
 
     def spread_now(self) -> None:
-        """Send queued changes to a few random peers."""
-        self._spread("")
+        """Send queued changes to a few random peers of any failure domain."""
+        if self._peers is not None and self._has_queued(ephemeral=False):
+            self._spread(self._peers.choose_first_targets(), ephemeral=False)
 
-    def _spread_ephemeral_now(self) -> None:
-        self._spread(next(iter(EPHEMERAL_KINDS)))
+    def _spread_changes(self) -> None:
+        if self._peers is not None and self._has_queued(ephemeral=False):
+            self._spread(self._peers.choose_round(), ephemeral=False)
 
-    def _spread(self, ephemeral_kind: str) -> None:
-        """Send queued ephemeral changes, or all other ones when the kind is empty."""
-        if not any(
-            _is_eligible(queued.record, ephemeral_kind)
-            for queued in self._queued_changes()
-        ):
-            return
-        peers = self._list_peers(ephemeral_kind)
-        for _, address in self._rng.sample(peers, min(FANOUT, len(peers))):
+    def _spread_ephemeral(self) -> None:
+        if self._peers is not None and self._has_queued(ephemeral=True):
+            self._spread(self._peers.choose_round(), ephemeral=True)
+
+    def _spread(self, targets: list[GossipTarget], ephemeral: bool) -> None:
+        """Send queued changes that are or are not ephemeral."""
+        for target in targets:
             if not self._may_spread():
                 return
             records = self._select_changes(
-                MAX_MESSAGE_BYTES - EMPTY_MESSAGE_BYTES, ephemeral_kind
+                MAX_MESSAGE_BYTES - EMPTY_MESSAGE_BYTES, ephemeral, target.is_local
             )
             if records:
-                self._transmit(GOSSIP, address, records, {})
+                self._transmit(GOSSIP, target.address, records, {})
+
+    def _has_queued(self, ephemeral: bool) -> bool:
+        return any(
+            (identity[0] in EPHEMERAL_KINDS) == ephemeral for identity in self._queue
+        )
 
     def _may_spread(self) -> bool:
         return (
@@ -280,15 +286,21 @@
         return list(self._queue.values())
 
     def _select_changes(
-        self, free_bytes: int, ephemeral_kind: str = ""
+        self, free_bytes: int, ephemeral: bool = False, is_local: bool = True
     ) -> list[Record]:
         selected: list[Record] = []
-        nodes = len(self._list_peers("")) + 1
+        if self._peers is None:
+            return selected
+        nodes = len(self._peers.list_local()) + 1
         queue_length = len(self._queue)
         # Changes that were sent least often go first.
         for queued in sorted(self._queued_changes(), key=lambda q: q.sent):
             record = queued.record
-            if not _is_eligible(record, ephemeral_kind) or queued.size > free_bytes:
+            if (record.kind in EPHEMERAL_KINDS) != ephemeral:
+                continue
+            if not is_local and self._peers.is_domain_scoped(record.kind):
+                continue
+            if queued.size > free_bytes:
                 continue
             free_bytes -= queued.size
             queued.sent += 1
@@ -332,7 +344,3 @@
             self._merge(message.sender, record)
         if handler is not None:
             handler(address, message)
-
-
-def _is_eligible(record: Record, ephemeral_kind: str) -> bool:
-    return (record.kind in EPHEMERAL_KINDS) == bool(ephemeral_kind)
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -11,13 +11,12 @@
 from geraniumbend.membership._eligible_servers import EligibleServers
 from geraniumbend.membership._failure_detector import FailureDetector
 from geraniumbend.membership._gossip import GOSSIP, Gossip
+from geraniumbend.membership._gossip_peers import GossipPeers
 from geraniumbend.membership._members import LEFT, Member, MemberTable
 from geraniumbend.membership._notices import Notices
 from geraniumbend.membership._pause_recovery import PauseRecovery
 from geraniumbend.membership._published_records import PublishedRecords
 from geraniumbend.membership._records import (
-    DOMAIN_SCOPE_NODES,
-    EPHEMERAL_KINDS,
     MEMBER,
     SERVER,
     Record,
@@ -126,8 +125,9 @@
             options.incarnation,
         )
         self._members = MemberTable(own, self._table, self._gossip, timers)
+        self._peers = GossipPeers(self._members, options.failure_domain, self._rng)
         self._failure_detector = FailureDetector(
-            self._members, self._gossip, timers, self._rng
+            self._members, self._peers, self._gossip, timers, self._rng
         )
         self._eligible_servers = EligibleServers(timers)
         self._server_directory = ServerDirectory(
@@ -161,7 +161,7 @@
         )
         self._gossip.set_callbacks(
             self._merge_gossip,
-            self._list_peers,
+            self._peers,
             self._lifetime,
             self._pause_recovery.check_not_paused,
         )
@@ -268,9 +268,8 @@
     async def stop(self) -> None:
         """Announce that this node leaves and close the socket."""
         record = self._members.publish_own_state(LEFT)
-        peers = self._list_peers("")
-        chosen = self._rng.sample(peers, min(MAX_LEAVE_MESSAGES, len(peers)))
-        for _, address in chosen:
+        peers = self._peers.list_addresses()
+        for address in self._rng.sample(peers, min(MAX_LEAVE_MESSAGES, len(peers))):
             self._gossip.send(GOSSIP, address, records=[record])
         self._pause_recovery.stop()
         self._cluster_joiner.stop()
@@ -308,9 +307,14 @@
         """Return the number of live gateways, including this one."""
         return len(self._live_gateways())
 
-    def live_gateway_names(self) -> list[str]:
-        """Return the names of the live gateways."""
-        return [member.name for member in self._live_gateways()]
+    @property
+    def failure_domain(self) -> str:
+        """Failure domain of this node."""
+        return self._options.failure_domain
+
+    def list_live_gateways(self) -> list[Member]:
+        """Return the live gateways, including this one, sorted by name."""
+        return self._live_gateways()
 
     def announce(self, announcement: Announcement) -> bool:
         """Record an announcement; see `ServerDirectory.announce`."""
@@ -381,6 +385,18 @@
         """Publish a record to all nodes; see `PublishedRecords.publish`."""
         return self._published_records.publish(kind, key, value, lifetime_s)
 
+    def publish_to_domains(
+        self, kind: str, key: str, value: bytes, lifetime_s: float
+    ) -> bool:
+        """Publish a domain-scoped record in this and in all other failure domains."""
+        if not self._published_records.publish(kind, key, value, lifetime_s):
+            return False
+        entry = self._table.get(kind, self.name, key)
+        assert entry is not None
+        for address in self._peers.choose_per_domain():
+            self._gossip.send(GOSSIP, address, urgent=False, records=[entry.record])
+        return True
+
     def records(self, kind: str) -> dict[tuple[str, str], bytes]:
         """Return the published records of a kind by node and key."""
         return self._published_records.records(kind)
@@ -463,13 +479,6 @@
         live = self._members.live(include_own=True)
         return [member for member in live if member.role == "gateway"]
 
-    def _list_peers(self, kind: str) -> list[tuple[str, str]]:
-        live = self._members.live()
-        if kind in EPHEMERAL_KINDS and len(live) >= DOMAIN_SCOPE_NODES:
-            domain = self._options.failure_domain
-            live = [m for m in live if m.failure_domain == domain]
-        return [(member.name, member.address) for member in live]
-
     def _merge_gossip(self, sender: str, record: Record) -> None:
         # After a pause the socket buffer still holds datagrams from before it.
         if record.kind == MEMBER or not self._pause_recovery.recovering:
@@ -516,7 +525,7 @@
 
     def _list_resync_peers(self) -> list[str]:
         """Return a few addresses to synchronise with after a pause."""
-        peers = [address for _, address in self._list_peers("")]
+        peers = self._peers.list_addresses()
         self._rng.shuffle(peers)
         return (peers + list(self._options.seeds))[:5]
 
@@ -539,7 +548,7 @@
                 self._published_records.expire(entry)
         self._eligible_servers.tick()
         self._published_records.set_sharing_nodes(
-            len(self._list_peers(next(iter(EPHEMERAL_KINDS)))) + 1
+            self._peers.count_ephemeral_peers() + 1
         )
 
     async def _run_anti_entropy(self) -> None:
@@ -548,11 +557,11 @@
             or self._pause_recovery.recovering
         ):
             return
-        peers = [address for _, address in self._list_peers("")]
-        if not peers:
+        peer = self._peers.choose_sync_peer()
+        if peer is None:
             return
         differences_found = self._anti_entropy.differences_found
-        await self._anti_entropy.run([self._rng.choice(peers)], drop_unconfirmed=False)
+        await self._anti_entropy.run([peer], drop_unconfirmed=False)
         if (
             self._anti_entropy.differences_found > differences_found
             and not self._follow_up_scheduled
@@ -568,7 +577,7 @@
 
     async def _reconnect_lost_members(self) -> None:
         """Synchronise with one seed or dead member, so that partitions merge again."""
-        live = {address for _, address in self._list_peers("")}
+        live = set(self._peers.list_addresses())
         own = f"{self._options.host}:{self._port.address.rpartition(':')[2]}"
         lost = {m.address for m in self._members.members.values() if m.state == "dead"}
         candidates = sorted((lost | set(self._options.seeds)) - live - {own})
--- a/src/geraniumbend/membership/_records.py
+++ b/src/geraniumbend/membership/_records.py
@@ -21,10 +21,15 @@
 LOAD = "load"
 DEMAND = "demand"
 RETRY_EARNINGS = "retry-budget"
+# Kinds of the sums over a failure domain, by the kind that is summed.
+SUM_KINDS = {DEMAND: "demand-sum", RETRY_EARNINGS: "retry-budget-sum"}
+# Kinds that gossip spreads only within a failure domain. The node that publishes a sum
+# sends it to a few nodes of the other domains.
+DOMAIN_SCOPED_KINDS = frozenset({*SUM_KINDS, *SUM_KINDS.values()})
 # Kinds whose writers supersede them within seconds, so anti-entropy skips them.
-EPHEMERAL_KINDS = frozenset({LOAD, DEMAND, RETRY_EARNINGS})
+EPHEMERAL_KINDS = frozenset({LOAD, *SUM_KINDS, *SUM_KINDS.values()})
 LIVE, WITHDRAWN = 0, 1
-# In clusters of more nodes, ephemeral records are sent only within a failure domain.
+# In clusters of more nodes, announced loads are sent only within a failure domain.
 DOMAIN_SCOPE_NODES = 64
 BUCKET_COUNT = 64
 MAX_TEXT_LENGTH = 512
--- a/src/geraniumbend/retries/_budget.py
+++ b/src/geraniumbend/retries/_budget.py
@@ -4,9 +4,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
-from geraniumbend.errors import GeraniumbendError
-from geraniumbend.membership import DOMAIN_SCOPE_NODES, RETRY_EARNINGS
-from geraniumbend.wire import decode, encode, load_structs
+from geraniumbend.membership import RETRY_EARNINGS, has_changed
 
 if TYPE_CHECKING:
     from geraniumbend.settings import Settings
@@ -21,10 +19,8 @@
 SHARED_FRACTION = 0.5
 REFRESH_PERIOD_S = 1.0
 REPUBLISH_PERIOD_S = 5.0
-RECORD_LIFETIME_S = 15.0
-SIGNIFICANT_CHANGE = 0.25
-# Keeps the published record within its limit of 900 bytes.
-MAX_GROUPS = 24
+# Change of the successes in a window that is published before it is due again.
+MIN_CHANGE = 0.25
 # After a start, gossip needs time to inform a gateway of the others. Until then it uses
 # no part of the shared allowance.
 STARTUP_DELAY_S = 2.0
@@ -33,15 +29,15 @@
 MIN_RETRIES = 1.0
 
 
-class MembershipPort(Protocol):
-    """Part of membership that the budget uses."""
+class TotalsPort(Protocol):
+    """Sums over the gateways of the cluster."""
 
-    def publish(self, kind: str, key: str, value: bytes, lifetime_s: float) -> bool:
-        """Publish a record to all nodes."""
+    def publish(self, kind: str, rates: dict[str, float]) -> bool:
+        """Publish numbers of this gateway by group."""
         ...
 
-    def records(self, kind: str) -> dict[tuple[str, str], bytes]:
-        """Return the records of a kind by node and key."""
+    def sum_others(self, kind: str) -> dict[str, float]:
+        """Return the sums over all other gateways by group."""
         ...
 
 
@@ -89,10 +85,8 @@
 
     Parameters
     ----------
-    node : str
-        Name of this gateway.
-    membership : MembershipPort
-        Publishes and reads the records that gateways exchange.
+    totals : TotalsPort
+        Successes of the other gateways.
     shares : SharePort
         This gateway's share of shared budgets.
     timers : TimerService
@@ -111,8 +105,7 @@
 
     def __init__(
         self,
-        node: str,
-        membership: MembershipPort,
+        totals: TotalsPort,
         shares: SharePort,
         timers: TimerService,
         ratio: float = DEFAULT_RATIO,
@@ -125,8 +118,7 @@
         self._window_s = window_s
         self._allowance = allowance
         self._started_at = timers.now()
-        self._node = node
-        self._membership = membership
+        self._totals = totals
         self._shares = shares
         self._timers = timers
         self._successes: dict[str, _SlidingCounter] = {}
@@ -140,15 +132,14 @@
     def from_config(
         cls,
         settings: Settings,
-        membership: MembershipPort,
+        totals: TotalsPort,
         shares: SharePort,
         timers: TimerService,
     ) -> RetryBudget:
         """Create the retry budget of a gateway from its settings."""
         gateway = settings.gateway
         return cls(
-            settings.node.name,
-            membership,
+            totals,
             shares,
             timers,
             gateway.retry_ratio,
@@ -215,53 +206,16 @@
             return
         self._refreshed_at = now
         self._publish_successes(now)
-        self._peer_successes = {}
-        struct = load_structs("retries").RetryEarnings
-        reporting_gateways = 1
-        for (node, _), value in self._membership.records(RETRY_EARNINGS).items():
-            if node == self._node:
-                continue
-            reporting_gateways += 1
-            try:
-                peer_rates = decode(struct, value).rates or {}
-            except GeraniumbendError:
-                continue
-            for group, rate in peer_rates.items():
-                if math.isfinite(rate) and rate > 0:
-                    self._peer_successes[group] = (
-                        self._peer_successes.get(group, 0.0) + rate
-                    )
-        gateways = 1 / max(self._shares.gateway_share(), 1e-9)
-        if gateways >= DOMAIN_SCOPE_NODES and reporting_gateways > 1:
-            # In a large cluster a gateway receives records only from its own failure
-            # domain and extrapolates from them to all gateways.
-            factor = max(1.0, gateways / reporting_gateways)
-            self._peer_successes = {
-                name: n * factor for name, n in self._peer_successes.items()
-            }
+        self._peer_successes = self._totals.sum_others(RETRY_EARNINGS)
 
     def _publish_successes(self, now: float) -> None:
         """Publish own successes per group if they changed or are due again."""
         successes = {
-            group: count.total(now) for group, count in self._successes.items()
+            group: round(count.total(now), 1)
+            for group, count in self._successes.items()
         }
-        largest_groups = sorted(
-            successes, key=lambda group: (-successes[group], group)
-        )[:MAX_GROUPS]
-        rates = {group: round(successes[group], 1) for group in largest_groups}
-        changed = any(
-            abs(rates.get(group, 0.0) - self._published.get(group, 0.0))
-            > SIGNIFICANT_CHANGE * max(1.0, self._published.get(group, 0.0))
-            for group in rates.keys() | self._published.keys()
-        )
+        changed = has_changed(successes, self._published, MIN_CHANGE)
         if not changed and now - self._published_at < REPUBLISH_PERIOD_S:
             return
-        value = encode(load_structs("retries").RetryEarnings(rates=rates))
-        try:
-            accepted = self._membership.publish(
-                RETRY_EARNINGS, "", value, RECORD_LIFETIME_S
-            )
-        except GeraniumbendError:
-            return
-        if accepted:
-            self._published, self._published_at = rates, now
+        if self._totals.publish(RETRY_EARNINGS, successes):
+            self._published, self._published_at = successes, now
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -11,7 +11,12 @@
 from geraniumbend.configuration import ConfigurationFollower, ConfigurationView
 from geraniumbend.interfaces import find_interface
 from geraniumbend.keys import KeyRing
-from geraniumbend.membership import AnnouncementApi, GatewayShares, Membership
+from geraniumbend.membership import (
+    AnnouncementApi,
+    GatewayShares,
+    Membership,
+    RateTotals,
+)
 from geraniumbend.metrics import MetricSet
 from geraniumbend.orders import OrderClient
 from geraniumbend.proxying import Proxy, ProxyParts
@@ -66,7 +71,10 @@
         self._membership = Membership.from_config(
             settings, "gateway", self._clients, timers
         )
-        self._shares = GatewayShares.from_config(settings, self._membership, timers)
+        self._rate_totals = RateTotals(self._membership, timers)
+        self._shares = GatewayShares.from_config(
+            settings, self._membership, self._rate_totals, timers
+        )
         self._configuration_view = ConfigurationView(timers)
         dialect = find_interface(settings.node.interface).dialect
         self._follower = ConfigurationFollower.from_config(
@@ -97,7 +105,7 @@
             settings, self._table, self._shares, timers
         )
         self._budget = RetryBudget.from_config(
-            settings, self._membership, self._shares, timers
+            settings, self._rate_totals, self._shares, timers
         )
         self._quarantine = Quarantine.from_config(settings, self._membership, timers)
         self._orders = OrderClient.from_config(settings, self._clients, timers)
@@ -154,6 +162,7 @@
         await self._announce_listener.start()
         self._follower.start()
         await self._membership.start()
+        self._rate_totals.start()
         self._loads_timer = self._timers.every(
             LOADS_APPLY_PERIOD_S, self._apply_announced_loads
         )
@@ -186,6 +195,7 @@
         self._on_demand_probes.stop()
         await self._orders.stop()
         await self._follower.stop()
+        self._rate_totals.stop()
         await self._membership.stop()
         await self._announce_listener.stop()
         await self._upstream.close()
--- a/src/geraniumbend/wire/_specs.py
+++ b/src/geraniumbend/wire/_specs.py
@@ -224,7 +224,7 @@
             {1: (8, "in_flight", False), 2: (8, "slots", False)},
             [("in_flight", 0), ("slots", 1)],
         ),
-        "DemandValue": ({1: (13, "rates", (11, 4), False)}, [("rates", {})]),
+        "RatesValue": ({1: (13, "rates", (11, 4), False)}, [("rates", {})]),
         "DigestRequest": (
             {
                 1: (11, "sender", False),
@@ -508,5 +508,4 @@
         ),
         "BarrierResponse": ({1: (10, "index", False)}, [("index", None)]),
     },
-    "retries": {"RetryEarnings": ({1: (13, "rates", (11, 4), False)}, [("rates", {})])},
 }
--- a/src/geraniumbend/wire/membership.thrift
+++ b/src/geraniumbend/wire/membership.thrift
@@ -50,8 +50,8 @@
   2: i32 slots = 1
 }
 
-/** Demand of one gateway, requests per second by group. */
-struct DemandValue {
+/** Rates of one gateway or failure domain by group: demand or recent successes. */
+struct RatesValue {
   1: map<string, double> rates = {}
 }
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from geraniumbend.membership import Member
 from geraniumbend.model import BackendServer, Configuration, Group
 from geraniumbend.timers import ManualTimers
 
@@ -55,23 +56,30 @@
         self.announced = {}
         self.cut = set()
 
-    def join(self, name):
-        self.nodes[name] = FakeMembership(self, name)
+    def join(self, name, failure_domain=""):
+        self.nodes[name] = FakeMembership(self, name, failure_domain)
         return self.nodes[name]
 
 
 class FakeMembership:
     """Membership of one gateway on a bus."""
 
-    def __init__(self, bus, name):
+    def __init__(self, bus, name, failure_domain=""):
         self.bus = bus
         self.name = name
+        self.failure_domain = failure_domain
         self.published = {}
         self.callbacks = {}
 
     def servers(self):
         return self.bus.announced
 
+    def list_live_gateways(self):
+        return [
+            Member(node.name, "gateway", "", node.failure_domain, "alive", 1)
+            for node in sorted([self, *self._reachable()], key=lambda n: n.name)
+        ]
+
     def publish(self, kind, key, value, lifetime_s):
         self.published.pop((kind, key), None)
         if lifetime_s:
@@ -80,6 +88,8 @@
             node.deliver(kind, self.name, key, value if lifetime_s else None)
         return True
 
+    publish_to_domains = publish
+
     def records(self, kind):
         return {
             (node.name, key): value
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -24,6 +24,8 @@
         self.frozen = set()
         self.loss = self.duplication = self.reordering = 0.0
         self.bytes = {}
+        self.bytes_between_domains = 0
+        self.domain_of = lambda address: ""
 
     def reachable(self, source, target):
         return (source, target) not in self.cuts and target in self.ports
@@ -37,6 +39,8 @@
 
     def deliver(self, source, target, payload):
         self.bytes[source] = self.bytes.get(source, 0) + len(payload) + 87
+        if self.domain_of(source) != self.domain_of(target):
+            self.bytes_between_domains += len(payload) + 87
         if not self.reachable(source, target) or self.rng.random() < self.loss:
             return
         for _ in range(1 + (self.rng.random() < self.duplication)):
@@ -134,11 +138,15 @@
 class Cluster:
     """Nodes g0, g1, ... on one network and one manual clock."""
 
-    def __init__(self, count, seed=1, rate=18_000.0):
+    def __init__(self, count, seed=1, rate=18_000.0, domains=1):
         self.timers = QuickTimers()
         self.network = Network(self.timers, seed)
+        self.network.domain_of = lambda address: self.domain(
+            f"g{int(address.split(':')[0].rpartition('.')[2]) - 1}"
+        )
         self.seed = seed
         self.rate = rate
+        self.domains = domains
         self.nodes = {}
         self.clocks = {}
         self.names = [f"g{i}" for i in range(count)]
@@ -155,6 +163,9 @@
     def address(self, name):
         return f"10.0.0.{int(name[1:]) + 1}:7000"
 
+    def domain(self, name):
+        return f"d{int(name[1:]) % self.domains}"
+
     async def boot(self, name, incarnation=1):
         address = self.address(name)
         port = FakeDatagramPort(self.network, address)
@@ -164,6 +175,7 @@
         options = MembershipOptions(
             name=name,
             host=address.split(":")[0],
+            failure_domain=self.domain(name),
             seeds=seeds,
             bytes_per_second=self.rate,
             incarnation=incarnation,
@@ -215,7 +227,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def live(self, name):
-        return self.nodes[name].live_gateway_names()
+        return [member.name for member in self.nodes[name].list_live_gateways()]
 
     def nodes_that_know(self, server_id):
         return sorted(
--- a/tests/membership/test_records.py
+++ b/tests/membership/test_records.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from geraniumbend.errors import ProtocolError
-from geraniumbend.membership import GatewayShares
+from geraniumbend.membership import GatewayShares, RateTotals
 from geraniumbend.membership._records import unpack_records
 from geraniumbend.wire import decode, load_structs
 from tests.fuzzing import fuzz
@@ -111,7 +111,9 @@
         self.addAsyncCleanup(cluster.stop)
         self.cluster = cluster
         self.shares = {
-            name: GatewayShares(node, minimum, cluster.timers)
+            name: GatewayShares(
+                node, RateTotals(node, cluster.timers), minimum, cluster.timers
+            )
             for name, node in cluster.nodes.items()
         }
         await self.sample_shares(5.0)
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from geraniumbend.membership import RateTotals
 from geraniumbend.retries import RetryBudget
 from tests.fakes import FakeBus, FakeShares, StepTimers
 
@@ -12,7 +13,9 @@
         bus = FakeBus()
         shares = FakeShares(gateways)
         return [
-            RetryBudget(f"n{index}", bus.join(f"n{index}"), shares, self.timers)
+            RetryBudget(
+                RateTotals(bus.join(f"n{index}"), self.timers), shares, self.timers
+            )
             for index in range(gateways)
         ]
 
@@ -49,22 +52,26 @@
         self.timers.step(60)
         self.assertEqual(self.spend_all(budget), 1)
 
-    def test_gateways_with_records_of_their_domain_only_keep_the_shared_budget(self):
+    def test_sums_of_the_other_domains_count_into_the_shared_budget(self):
         """Guards against failure domains of a large cluster that exceed the budget."""
         timers = StepTimers()
         shares = FakeShares(70)
+        bus = FakeBus()
         budgets = []
+        totals = []
         for domain in range(7):
-            bus = FakeBus()
             for index in range(10):
-                name = f"d{domain}n{index}"
-                budget = RetryBudget(name, bus.join(name), shares, timers)
+                node = bus.join(f"d{domain}n{index}", f"d{domain}")
+                totals.append(RateTotals(node, timers))
+                budget = RetryBudget(totals[-1], shares, timers)
                 self.record_success(budget, 100 * (1 + domain % 3))
                 budgets.append(budget)
         earned = 10 * 100 * (1 + 2 + 3 + 1 + 2 + 3 + 1)
         timers.step(1.1)
         for budget in budgets:
             budget.record_success("g")
+        for total in totals:
+            total.publish_domain_sums()
         timers.step(1.1)
         total = sum(self.spend_all(budget) for budget in budgets)
         self.assertLessEqual(total, 0.1 * (earned + len(budgets)))
@@ -86,8 +93,7 @@
         shares = FakeShares(gateways)
         return [
             RetryBudget(
-                f"n{index}",
-                bus.join(f"n{index}"),
+                RateTotals(bus.join(f"n{index}"), self.timers),
                 shares,
                 self.timers,
                 ratio,
