Prefer control hosts of the own failure domain for configuration polls

Cause: a gateway polled the control host that rendezvous hashing put first, three times in four in another failure domain. Change: hosts of the own domain come first in the order; the others follow as before.

--- a/src/geraniumbend/configuration/_follower.py
+++ b/src/geraniumbend/configuration/_follower.py
@@ -54,9 +54,9 @@
 class ConfigurationFollower:
     """Keeps a view up to date by long polls of one control host.
 
-    The control hosts are tried in the order of rendezvous hashing of node and host.
-    This spreads subscribers evenly, and the loss of a host moves only its own
-    subscribers. A host that failed is used again after a background probe succeeds.
+    Control hosts in the failure domain of the node are tried first, then the others,
+    each in the order of rendezvous hashing of node and host. This spreads subscribers
+    evenly, and the loss of a host moves only its own subscribers. A host that failed is used again after a background probe succeeds.
 
     Parameters
     ----------
@@ -73,6 +73,8 @@
     find_hosts : callable or None, default=None
         Returns the peer addresses of the control hosts known at the time of the
         call; used when `hosts` is empty.
+    is_local : callable or None, default=None
+        Tells whether the host at a peer address is in the failure domain of the node.
     """
 
     def __init__(
@@ -83,12 +85,14 @@
         view: ConfigurationView,
         timers: TimerService,
         find_hosts: Callable[[], list[str]] | None = None,
+        is_local: Callable[[str], bool] | None = None,
     ) -> None:
         self.confirmed = False
         self.host = ""
         self._node = node
         self._find_hosts = find_hosts
-        self._ranked_hosts = self._sort_by_rendezvous(hosts)
+        self._is_local = is_local
+        self._ranked_hosts = self._rank(hosts)
         self._clients = clients
         self._view = view
         self._timers = timers
@@ -105,6 +109,7 @@
         view: ConfigurationView,
         timers: TimerService,
         find_hosts: Callable[[], list[str]] | None = None,
+        is_local: Callable[[str], bool] | None = None,
     ) -> ConfigurationFollower:
         """Build the follower of a gateway from the settings of the process."""
         hosts = settings.gateway.control
@@ -115,6 +120,7 @@
             view,
             timers,
             None if hosts else find_hosts,
+            is_local,
         )
 
     def start(self) -> None:
@@ -207,16 +213,18 @@
             return
         hosts = self._find_hosts()
         if set(hosts) != set(self._ranked_hosts):
-            self._ranked_hosts = self._sort_by_rendezvous(hosts)
+            self._ranked_hosts = self._rank(hosts)
             self._failed_hosts.intersection_update(hosts)
 
-    def _sort_by_rendezvous(self, hosts: Iterable[str]) -> list[str]:
-        """Return hosts in the order of rendezvous hashing for this node."""
+    def _rank(self, hosts: Iterable[str]) -> list[str]:
+        """Return local hosts before others, each in the order of rendezvous hashing."""
 
-        def digest(host: str) -> int:
-            return xxhash.xxh64_intdigest(f"{self._node}\0{host}".encode())
+        def rank(host: str) -> tuple[bool, int]:
+            is_remote = self._is_local is not None and not self._is_local(host)
+            digest = xxhash.xxh64_intdigest(f"{self._node}\0{host}".encode())
+            return is_remote, digest
 
-        return sorted(hosts, key=digest)
+        return sorted(hosts, key=rank)
 
     def _choose_host(self, hosts: list[str] | None = None) -> str:
         """Return the first host that has not failed; if all failed, retry the first."""
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -83,6 +83,7 @@
             self._configuration_view,
             timers,
             self._list_control_hosts,
+            self._is_local_host,
         )
         self._table = ServerTable(timers)
         self._on_demand_probes = OnDemandProbes(
@@ -255,6 +256,13 @@
             return list(self._seeds)
         return live or [member.address for member in known]
 
+    def _is_local_host(self, address: str) -> bool:
+        domain = self._membership.failure_domain
+        return any(
+            member.address == address and member.failure_domain == domain
+            for member in self._membership.known_members()
+        )
+
     async def _probe(self, view: ServerView) -> Mapping[str, float] | None:
         groups = self._configuration_view.current.groups
         paths = [groups[name].health_path for name in view.groups if name in groups]
--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -46,6 +46,26 @@
         self.assertEqual(self.view.current.groups["a"].selector, "app=x")
         self.assertLess(self.view.age_s(), 0.1)
 
+    async def test_host_of_the_own_failure_domain_is_preferred(self):
+        """Guards against polls that cross between domains although a host is near."""
+        for local in self.cluster.stores:
+            follower = ConfigurationFollower(
+                "g1",
+                list(self.cluster.stores),
+                self.cluster,
+                ConfigurationView(self.timers),
+                self.timers,
+                is_local=lambda host, local=local: host == local,
+            )
+            follower.start()
+            self.addAsyncCleanup(follower.stop)
+            await self.timers.advance(1)
+            self.assertEqual(follower.host, local)
+            self.cluster.unresponsive.add(local)
+            await self.timers.advance(3)
+            self.assertNotEqual(follower.host, local)
+            self.cluster.unresponsive.clear()
+
     async def test_unresponsive_host_is_replaced_within_2_s_and_used_again_later(self):
         self.follower.start()
         await self.timers.advance(1)
