End a response whose framing goes on without a byte of the body

Cause: a chunk size of zeros or a chunk extension without end was parsed for as long as the body's idle time (20 s), and the event loop did nothing else. Change: 64 KiB without a message or a byte of a body close the connection. Tests on loopback with eight kinds of endless bytes; chunk size, extension and their load probes failed before.

--- a/src/geraniumbend/adapters/_backend_protocol.py
+++ b/src/geraniumbend/adapters/_backend_protocol.py
@@ -5,6 +5,7 @@
 
 from aiohttp.client_exceptions import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 
 if TYPE_CHECKING:
     import asyncio
@@ -12,17 +13,21 @@
 READ_BUFFER_BYTES = 128 * 1024
 MAX_RESPONSE_FIELD_BYTES = 32 * 1024
 MAX_RESPONSE_FIELDS = 256
+# Bytes that may arrive without a new message or a new byte of a body. The parser sets no
+# limit on the line before a chunk, which a faulty server may send without end.
+MAX_FRAMING_BYTES = 64 * 1024
 
 
 class BackendProtocol(ResponseHandler):
     """Client side of one connection to a backend server.
 
-    Adds three checks to aiohttp's protocol:
+    Adds four checks to aiohttp's protocol:
 
     - Bytes that arrive while no request is open close the connection; aiohttp would
       parse them as the next response.
     - A body that is delimited by the end of the connection counts as truncated if the
       connection was reset.
+    - Framing that carries no body ends the response after `MAX_FRAMING_BYTES`.
     - A wait for a response's head can time out while the request stays open.
 
     Parameters
@@ -45,6 +50,8 @@
         self.busy = False
         self.received = 0
         self.uses = 0
+        self._messages = 0
+        self._framing_bytes = 0
         self._watcher: asyncio.Future[None] | None = None
         self._interruptible = False
         self._poll: select.poll | None = None
@@ -54,6 +61,7 @@
         self.busy = True
         self.received = 0
         self.uses += 1
+        self._framing_bytes = 0
         self.set_response_params(
             skip_payload=method == "HEAD",
             read_until_eof=True,
@@ -123,10 +131,13 @@
                     self.transport.abort()
                 return
             self.received += len(data)
+        progress = self._measure_progress()
         super().data_received(data)
+        self._limit_framing(len(data), self._measure_progress() != progress)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queue a message and end the wait for it."""
+        self._messages += 1
         super().feed_data(data, size)
         _resolve(self._watcher)
 
@@ -135,6 +146,25 @@
         super().set_exception(exc, *cause)
         _resolve(self._watcher)
 
+    def _measure_progress(self) -> tuple[int, int, bool]:
+        payload = self._payload
+        if payload is None:
+            return self._messages, 0, False
+        return self._messages, payload.total_bytes, payload.is_eof()
+
+    def _limit_framing(self, size: int, has_progressed: bool) -> None:
+        self._framing_bytes = 0 if has_progressed else self._framing_bytes + size
+        if self._framing_bytes <= MAX_FRAMING_BYTES or self._exception is not None:
+            return
+        error = HttpProcessingError(message="framing without end")
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an unfinished body if the connection was reset."""
         if exc is not None and self._payload is not None:
