Tell a full server that resets its connections from a failing one

Cause: a reset before the response counted as a failure, was checked with up to two new connections, and a request on a reused connection was resent to the same server. Change: with as many requests waiting as running by its last report a server is full; its reset counts as no failure, it gets no new connection, and what may be repeated goes elsewhere within the budget. What may not is answered 502, unknown.

--- a/src/geraniumbend/adapters/_connection_pool.py
+++ b/src/geraniumbend/adapters/_connection_pool.py
@@ -115,7 +115,7 @@
             dropped_idle = exchange.reused and exchange.protocol.received == 0
             if dropped_idle and is_resendable(request):
                 return await self._recovery.resend(request)
-            raise await self._recovery.describe_loss(error) from error
+            raise await self._recovery.describe_loss(error, request) from error
         except BaseException:
             exchange.close()
             raise
--- a/src/geraniumbend/adapters/_silent_connections.py
+++ b/src/geraniumbend/adapters/_silent_connections.py
@@ -104,7 +104,12 @@
         """
         resent = prepare_resend(request)
         if resent is None:
-            raise UpstreamError("connection broke before the answer", "unknown")
+            is_full = request.is_server_full
+            raise UpstreamError(
+                "connection broke before the answer",
+                "unknown",
+                server_full=is_full is not None and is_full(),
+            )
         self._pool.free_capacity()
         try:
             fresh = await self._pool.open_new(self._pool.current, resent)
@@ -116,11 +121,17 @@
             ) from error
         return await self._send_on(fresh, resent, adapt=False)
 
-    async def describe_loss(self, cause: Exception) -> UpstreamError:
+    async def describe_loss(
+        self, cause: Exception, request: UpstreamRequest
+    ) -> UpstreamError:
         """Return the error for a connection that broke before the response.
 
-        Its `server_lost` is set if the server refuses a new connection.
+        Its `server_lost` is set if the server refuses a new connection. A full server
+        is not asked for one.
         """
+        message = f"connection broke before the answer: {cause}"
+        if request.is_server_full is not None and request.is_server_full():
+            return UpstreamError(message, "unknown", server_full=True)
         refused = False
         for delay_s in REFUSAL_CHECK_DELAYS_S:
             if delay_s:
@@ -128,9 +139,7 @@
             refused = await self._is_connection_refused()
             if refused:
                 break
-        return UpstreamError(
-            f"connection broke before the answer: {cause}", "unknown", refused
-        )
+        return UpstreamError(message, "unknown", refused)
 
     async def _race_replacement(
         self, exchange: Exchange, request: UpstreamRequest
@@ -197,7 +206,7 @@
             await fresh.read_head(self._remaining_s(request))
         except ConnectionError as error:
             fresh.close()
-            raise await self.describe_loss(error) from error
+            raise await self.describe_loss(error, request) from error
         except BaseException:
             fresh.close()
             raise
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -297,7 +297,9 @@
                 error=error.message,
                 server_lost=error.server_lost,
             )
-            self.finish(attempt, context, failed=True)
+            self.finish(attempt, context, failed=not error.server_full)
+            if error.server_full:
+                self._router.report_full(attempt.view)
             if error.server_lost:
                 server_id = attempt.view.server_id
                 await self._quarantine.report_loss(fingerprint, server_id)
@@ -332,7 +334,12 @@
         """
         server = attempt.view.server
 
+        def is_server_full() -> bool:
+            return self._router.is_full(attempt.view)
+
         def build_resend() -> UpstreamRequest | None:
+            if is_server_full():
+                return None
             if self._budget.counts_resends:
                 if not self._spend_retry(context):
                     return None
@@ -342,7 +349,7 @@
         def build() -> UpstreamRequest:
             now_s = self._timers.now()
             return context.build_request(server, now_s, silence_timeout_s)._replace(
-                build_resend=build_resend
+                build_resend=build_resend, is_server_full=is_server_full
             )
 
         return build()
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -35,6 +35,8 @@
         Whether the deadline passed.
     unreachable : bool, default=False
         Whether no connection could be opened; the attempt cost the server no work then.
+    server_full : bool, default=False
+        Whether the connection broke before the response while the server was full.
     """
 
     def __init__(
@@ -44,12 +46,14 @@
         server_lost: bool = False,
         timed_out: bool = False,
         unreachable: bool = False,
+        server_full: bool = False,
     ) -> None:
         super().__init__(message)
         self.run = run
         self.server_lost = server_lost
         self.timed_out = timed_out
         self.unreachable = unreachable
+        self.server_full = server_full
 
 
 class BodySource(Protocol):
@@ -88,6 +92,9 @@
         Returns the request in the form in which it is resent on a new connection, or
         None if it must not be resent. Without this callable the request is resent
         unchanged.
+    is_server_full : callable or None, default=None
+        Tells whether the server has more requests than slots by its last report. A full
+        server may reset connections, which is no sign of a crash, and gets no new ones.
     """
 
     method: str
@@ -99,6 +106,7 @@
     deadline_s: float
     silence_timeout_s: float
     build_resend: Callable[[], UpstreamRequest | None] | None = None
+    is_server_full: Callable[[], bool] | None = None
 
 
 class UpstreamResponse(Protocol):
@@ -259,6 +267,14 @@
         """Record the load report of a response."""
         ...
 
+    def is_full(self, view: ServerView) -> bool:
+        """Tell whether a server has more requests than slots by its last report."""
+        ...
+
+    def report_full(self, view: ServerView) -> None:
+        """Record that a server reset a connection because it was full."""
+        ...
+
     def report_address_reused(self, view: ServerView) -> None:
         """Record that the address of a server now belongs to another server."""
         ...
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -39,6 +39,12 @@
     "info",
     "A different backend server responded at this server's address.",
 )
+declare_event(
+    303,
+    "server_full",
+    "info",
+    "A backend server reset a connection while it was full.",
+)
 
 
 class SharePort(Protocol):
@@ -269,6 +275,18 @@
         """
         view.observe_report(report, self._timers.now(), response=True)
 
+    def is_full(self, view: ServerView) -> bool:
+        """Tell whether a server has more requests than slots by its last report."""
+        return view.is_full(self._timers.now())
+
+    def report_full(self, view: ServerView) -> None:
+        """Use a server only when no other is left until it reports free slots.
+
+        Its error rate stays as it is, since a full server is not a failing one.
+        """
+        view.observe_full(self._timers.now())
+        log_event(303, server=view.server_id)
+
     def report_address_reused(self, view: ServerView) -> None:
         """Exclude a server whose address is now used by another server.
 
--- a/src/geraniumbend/routing/_server_views.py
+++ b/src/geraniumbend/routing/_server_views.py
@@ -4,12 +4,13 @@
 from bisect import bisect_left, insort
 from typing import TYPE_CHECKING, NamedTuple
 
+from geraniumbend.routing._load_reports import LoadReport
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
     from geraniumbend.model import BackendServer
-    from geraniumbend.routing._load_reports import LoadReport
 
 # Time constant, in seconds, with which the weight of a load report decays from 1.
 REPORT_DECAY_S = 1.0
@@ -21,6 +22,9 @@
 REPORT_CEILING = 4.0
 # Weight of a new latency in the moving average of its request class.
 LATENCY_WEIGHT = 0.2
+# Requests per slot from which a server counts as full: its queue holds as many requests
+# as it runs. Servers may reset connections while their queue is full.
+FULL_LOAD = 2.0
 # Time constant, in seconds, with which a latency estimate without new samples returns
 # to the group's mean.
 LATENCY_DECAY_S = 10.0
@@ -230,6 +234,24 @@
         current = reported + self.in_flight - self._own_in_flight_at_report
         return max(self.in_flight, weight * current + (1 - weight) * fallback)
 
+    def is_full(self, now: float) -> bool:
+        """Tell whether at least `FULL_LOAD` requests per slot are on the server.
+
+        Without a recent report only the requests of this gateway count.
+        """
+        load = float(self.in_flight)
+        reported = self.reported_in_flight()
+        if reported is not None and now - self.report_at <= FRESH_REPORT_S:
+            load = reported + self.in_flight - self._own_in_flight_at_report
+        return load >= FULL_LOAD * self.slots
+
+    def observe_full(self, now: float) -> None:
+        """Record that the server is full, as a report of `FULL_LOAD` would."""
+        known = self.reported_in_flight() or 0.0
+        load = max(known, FULL_LOAD * self.slots)
+        slowdown = None if self.report is None else self.report.slowdown
+        self.observe_report(LoadReport(load, self.slots, slowdown=slowdown), now)
+
     def estimate_slowdown(self, now: float, group_mean: float) -> float:
         """Estimate the slowdown of the server: duration of work over its baseline.
 
--- a/tests/proxying/_data_path.py
+++ b/tests/proxying/_data_path.py
@@ -25,6 +25,8 @@
         self.probes = 0
         self.max_wait_s = []
         self.has_free_slot = True
+        self.full = set()
+        self.reported_full = []
 
     async def probe_candidates(
         self, group, request_class, excluded, deadline_s, max_wait_s=0.0
@@ -51,6 +53,15 @@
     def observe_report(self, view, header_value):
         view.report = header_value
 
+    def is_full(self, view):
+        return view.server_id in self.full
+
+    def report_full(self, view):
+        self.reported_full.append(view.server_id)
+
+    def report_address_reused(self, view):
+        view.address_reused = True
+
 
 class FakeAdmission:
     def __init__(self):
