Elect a leader at once when all voters have restarted

Change: a pre-vote tells whether only its restart keeps a voter from voting, with the number of its process; if all voters say so, the vote request carries the numbers back. A replica that restarted counts its own vote only after the wait or in that case.

--- a/src/geraniumbend/replication/_core.py
+++ b/src/geraniumbend/replication/_core.py
@@ -112,6 +112,8 @@
         # replica has lost that time, so its start counts as contact.
         self.started_at = timers.now()
         self.leader_contact_at = self.started_at
+        # Tells this process from earlier ones of the same replica.
+        self.session = rng.getrandbits(62) | 1
         # Start of the current election timeout.
         self.timeout_start = self.started_at
         # Index and member list of the newest committed list and of all later ones.
--- a/src/geraniumbend/replication/_elections.py
+++ b/src/geraniumbend/replication/_elections.py
@@ -1,14 +1,14 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from geraniumbend.errors import GeraniumbendError
 from geraniumbend.replication._messages import build_request, call_peer, cancel_tasks
 from geraniumbend.wire import load_structs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from geraniumbend.replication._core import Core
     from geraniumbend.replication._members import Member
@@ -30,6 +30,18 @@
 RESTART_PHASE_TIMEOUTS = 20.0
 
 
+class _Vote(NamedTuple):
+    """Response of a voter: whether it grants a vote, and the number of its process.
+
+    The number is 0 if the voter leads, follows a leader or would not vote for the
+    candidate for other reasons than its restart.
+    """
+
+    name: str
+    granted: bool = False
+    idle_session: int = 0
+
+
 class Elections:
     """Election timeouts, pre-votes and votes.
 
@@ -37,6 +49,12 @@
     vote for it, so that a replica that returns from a partition does not depose a
     live leader (Ongaro, Consensus, section 9.6).
 
+    A restarted voter grants no vote for a while, because it may have acknowledged a
+    leader just before. That time ends early if all voters respond to a pre-vote and
+    none of them leads or follows a leader: then no leader is left that a lease could
+    protect. Each voter sends the number of its process along and grants the vote only
+    if it is sent back, so a voter that restarts in between does not grant it.
+
     Parameters
     ----------
     core : Core
@@ -73,10 +91,7 @@
             return 0.0
         if not self._is_restarting():
             return core.election_timeout_s * core.rng.uniform(1.0, 2.0)
-        timeouts = core.rng.uniform(*RESTART_CAMPAIGN_TIMEOUTS)
-        if core.timeout_start == core.started_at:
-            timeouts += RESTART_NO_VOTE_TIMEOUTS
-        return core.election_timeout_s * timeouts
+        return core.election_timeout_s * core.rng.uniform(*RESTART_CAMPAIGN_TIMEOUTS)
 
     def _is_restarting(self) -> bool:
         """Return whether this replica has just started and has heard no leader yet."""
@@ -114,15 +129,49 @@
         core = self._core
         core.check_request(request)
         granted = await self._decide_vote(request)
+        idle = not granted and request.is_trial and self._is_idle(request)
         return load_structs("replication").VoteResponse(
-            term=core.term, granted=granted, incarnation=core.vote_state.incarnation
+            term=core.term,
+            granted=granted,
+            incarnation=core.vote_state.incarnation,
+            idle_session=core.session if granted or idle else 0,
+        )
+
+    def _is_idle(self, request: Any) -> bool:
+        """Return whether only the restart keeps this voter from granting a pre-vote."""
+        core = self._core
+        return (
+            core.can_vote()
+            and not core.is_installing
+            and not core.is_leader
+            and self._is_bound_by_restart()
+            and self._is_current(request)
+            and request.term > core.term
         )
 
+    def _is_bound_by_restart(self) -> bool:
+        """Return whether an earlier process may have acknowledged a live leader."""
+        core = self._core
+        if core.leader_contact_at != core.started_at:
+            return False
+        limit_s = RESTART_NO_VOTE_TIMEOUTS * core.election_timeout_s
+        return core.timers.now() - core.started_at < limit_s
+
+    def _is_current(self, request: Any) -> bool:
+        """Return whether the candidate's log holds at least what this one holds."""
+        log = self._core.log
+        own = (log.last_term, log.last_index)
+        return bool((request.last_term, request.last_index) >= own)
+
     async def _campaign(self, is_transfer: bool) -> None:
         core = self._core
         term = core.term
-        if not is_transfer and not await self._collect_votes(term + 1, True, False):
-            return
+        sessions: dict[str, int] = {}
+        if not is_transfer:
+            pre_vote = await self._run_pre_vote(term + 1)
+            if pre_vote is None:
+                return
+            sessions = pre_vote
         if core.term != term or core.is_leader or not core.can_vote():
             return
         core.leader = core.leader_address = ""
@@ -130,19 +179,59 @@
         await core.save_vote_state(vote_state)
         if core.vote_state != vote_state:
             return
-        won = await self._collect_votes(vote_state.term, False, is_transfer)
+        won = await self._collect_votes(vote_state.term, is_transfer, sessions)
         if won and core.vote_state == vote_state and core.can_vote():
             self._on_elected()
 
+    async def _run_pre_vote(self, term: int) -> dict[str, int] | None:
+        """Ask the voters whether they would vote for this replica.
+
+        Returns
+        -------
+        dict of str to int or None
+            None if they would not. Otherwise the numbers of the voters' processes by
+            node name, empty if a majority would vote without them.
+        """
+        core = self._core
+        members = core.members
+        votes = int(core.is_voter() and not self._is_bound_by_restart())
+        sessions: dict[str, int] = {}
+        others = [member for member in members.voters() if member.name != core.node]
+        tasks = [
+            asyncio.ensure_future(self._request_vote(member, term, is_pre_vote=True))
+            for member in others
+        ]
+        waiting = set(tasks)
+        try:
+            while waiting and votes < members.majority():
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    response = task.result()
+                    votes += response.granted
+                    if response.idle_session:
+                        sessions[response.name] = response.idle_session
+        finally:
+            await cancel_tasks(tasks)
+        if votes >= members.majority():
+            return {}
+        return sessions if len(sessions) == len(others) else None
+
     async def _collect_votes(
-        self, term: int, is_pre_vote: bool, is_transfer: bool
+        self, term: int, is_transfer: bool, sessions: Mapping[str, int]
     ) -> bool:
         core = self._core
         members = core.members
         votes = int(core.is_voter())
         tasks = [
             asyncio.ensure_future(
-                self._request_vote(member, term, is_pre_vote, is_transfer)
+                self._request_vote(
+                    member,
+                    term,
+                    is_transfer=is_transfer,
+                    idle_session=sessions.get(member.name, 0),
+                )
             )
             for member in members.voters()
             if member.name != core.node
@@ -153,14 +242,19 @@
                 done, waiting = await asyncio.wait(
                     waiting, return_when=asyncio.FIRST_COMPLETED
                 )
-                votes += sum(task.result() for task in done)
+                votes += sum(task.result().granted for task in done)
         finally:
             await cancel_tasks(tasks)
         return votes >= members.majority()
 
     async def _request_vote(
-        self, member: Member, term: int, is_pre_vote: bool, is_transfer: bool
-    ) -> bool:
+        self,
+        member: Member,
+        term: int,
+        is_pre_vote: bool = False,
+        is_transfer: bool = False,
+        idle_session: int = 0,
+    ) -> _Vote:
         core = self._core
         request = build_request(
             core,
@@ -171,6 +265,7 @@
             last_term=core.log.last_term,
             is_trial=is_pre_vote,
             is_transfer=is_transfer,
+            idle_session=idle_session,
         )
         try:
             response = await call_peer(
@@ -183,8 +278,10 @@
             )
             await core.observe_term(response.term)
         except GeraniumbendError:
-            return False
-        return bool(response.granted) and response.incarnation == member.incarnation
+            return _Vote(member.name)
+        if response.incarnation != member.incarnation:
+            return _Vote(member.name)
+        return _Vote(member.name, bool(response.granted), response.idle_session or 0)
 
     def _choose_vote_timeout(self) -> float:
         """Return the timeout of a vote request in seconds."""
@@ -195,19 +292,9 @@
         core = self._core
         if not core.can_vote() or core.is_installing:
             return False
-        since_contact = core.timers.now() - core.leader_contact_at
-        no_vote_timeouts = (
-            RESTART_NO_VOTE_TIMEOUTS
-            if core.leader_contact_at == core.started_at
-            else 1.0
-        )
-        has_recent_leader = (
-            core.is_leader or since_contact < no_vote_timeouts * core.election_timeout_s
-        )
-        if has_recent_leader and not request.is_transfer:
+        if not request.is_transfer and self._may_have_leader(request):
             return False
-        own = (core.log.last_term, core.log.last_index)
-        is_current = (request.last_term, request.last_index) >= own
+        is_current = self._is_current(request)
         if request.is_trial:
             return bool(is_current and request.term > core.term)
         if request.term < core.term:
@@ -227,5 +314,15 @@
             core.term == request.term and core.vote_state.voted_for == request.candidate
         )
 
+    def _may_have_leader(self, request: Any) -> bool:
+        """Return whether a leader with a lease may exist as far as this voter knows."""
+        core = self._core
+        if core.is_leader:
+            return True
+        if core.leader_contact_at == core.started_at:
+            is_confirmed_idle = request.idle_session == core.session
+            return self._is_bound_by_restart() and not is_confirmed_idle
+        return core.timers.now() - core.leader_contact_at < core.election_timeout_s
+
     def _is_sole_voter(self) -> bool:
         return len(self._core.members.voters()) == 1 and self._core.is_voter()
--- a/src/geraniumbend/wire/_specs.py
+++ b/src/geraniumbend/wire/_specs.py
@@ -416,6 +416,7 @@
                 6: (10, "last_term", False),
                 7: (2, "is_trial", False),
                 8: (2, "is_transfer", False),
+                9: (10, "idle_session", False),
             },
             [
                 ("version", None),
@@ -426,6 +427,7 @@
                 ("last_term", None),
                 ("is_trial", None),
                 ("is_transfer", None),
+                ("idle_session", 0),
             ],
         ),
         "VoteResponse": (
@@ -433,8 +435,14 @@
                 1: (10, "term", False),
                 2: (2, "granted", False),
                 3: (10, "incarnation", False),
+                4: (10, "idle_session", False),
             },
-            [("term", None), ("granted", None), ("incarnation", None)],
+            [
+                ("term", None),
+                ("granted", None),
+                ("incarnation", None),
+                ("idle_session", 0),
+            ],
         ),
         "SnapshotRequest": (
             {
--- a/src/geraniumbend/wire/replication.thrift
+++ b/src/geraniumbend/wire/replication.thrift
@@ -71,12 +71,16 @@
   6: i64 last_term
   7: bool is_trial
   8: bool is_transfer
+  /** Session that the voter sent with its pre-vote, if all voters sent one. */
+  9: i64 idle_session = 0
 }
 
 struct VoteResponse {
   1: i64 term
   2: bool granted
   3: i64 incarnation
+  /** Number of the voter's process if only its restart keeps it from voting, else 0. */
+  4: i64 idle_session = 0
 }
 
 struct SnapshotRequest {
--- a/tests/replication/test_restarts.py
+++ b/tests/replication/test_restarts.py
@@ -1,10 +1,15 @@
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from tests.replication.cluster import ReplicationTestCase
 
 # A restarted voter grants no vote for 0.75 election timeouts, and its campaigns are at
 # most 0.5 timeouts apart.
 LONGEST_OUTAGE_TIMEOUTS = 1.25
+NO_VOTE_TIMEOUTS = 0.7
+# A campaign starts within half a timeout; another one follows if two met.
+ALL_RESTARTED_TIMEOUTS = 0.7
 
 
 class RestartTest(ReplicationTestCase):
@@ -34,6 +39,47 @@
                 await cluster.start("n3")
                 await self.expect_leader(cluster)
 
+    async def test_leader_is_elected_at_once_when_all_voters_have_restarted(self):
+        """Guards against a wait for a lease that no process can hold any more."""
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                cluster = await self.open(5, seed=seed)
+                for name in cluster.nodes:
+                    await cluster.kill(name)
+                await cluster.start()
+                await cluster.until(
+                    lambda cluster=cluster: any(
+                        replica.is_leader for replica in cluster.replicas.values()
+                    ),
+                    ALL_RESTARTED_TIMEOUTS * cluster.settings.election_timeout_s,
+                )
+
+    async def test_restarted_voters_wait_while_one_voter_is_silent(self):
+        """Guards against a vote beside a leader that cannot be asked."""
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                cluster = await self.open(5, seed=seed)
+                for name in cluster.nodes:
+                    await cluster.kill(name)
+                await cluster.start("n1", "n2", "n3", "n4")
+                await cluster.run(
+                    NO_VOTE_TIMEOUTS * cluster.settings.election_timeout_s
+                )
+                self.assertFalse(
+                    any(replica.is_leader for replica in cluster.replicas.values())
+                )
+
+    async def test_voter_that_restarted_after_its_pre_vote_grants_no_vote(self):
+        """Guards against a candidate that was paused between pre-vote and vote."""
+        cluster = await self.open(3)
+        leader = next(n for n in cluster.nodes if cluster.replicas[n].is_leader)
+        voter = next(n for n in cluster.nodes if n != leader)
+        await cluster.kill(voter)
+        await cluster.start(voter)
+        core = cluster.replicas[voter]._core
+        request = SimpleNamespace(idle_session=core.session + 2)
+        self.assertTrue(cluster.replicas[voter]._elections._may_have_leader(request))
+
     async def expect_leader(self, cluster):
         await cluster.until(
             lambda: any(replica.is_leader for replica in cluster.replicas.values()),
