--- a/src/geraniumbend/membership/_cluster_joiner.py
+++ b/src/geraniumbend/membership/_cluster_joiner.py
@@ -16,7 +16,6 @@
 # is short because seeds that start with this process listen within tenths of a second.
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.5
-MAX_ROUNDS = 20
 
 
 class ClusterJoiner:
@@ -76,7 +75,7 @@
 
     async def _run(self, seeds: list[str], first_round: asyncio.Future[None]) -> None:
         backoff_s = INITIAL_BACKOFF_S
-        for _ in range(MAX_ROUNDS):
+        while not self.joined:
             self.joined = await self._try_seeds(seeds)
             if not first_round.done():
                 first_round.set_result(None)
--- a/src/geraniumbend/membership/_server_records_file.py
+++ b/src/geraniumbend/membership/_server_records_file.py
@@ -88,7 +88,12 @@
         if xxhash.xxh64_digest(body) != digest:
             log_event(820, path=str(self._path), error="checksum mismatch")
             return []
-        return msgspec.msgpack.decode(body, type=list[Record])
+        try:
+            return msgspec.msgpack.decode(body, type=list[Record])
+        except msgspec.MsgspecError as error:
+            # Another release may have written other fields.
+            log_event(820, path=str(self._path), error=str(error))
+            return []
 
     def _store_changes(self) -> None:
         if self._write_task is not None and not self._write_task.done():
--- a/src/geraniumbend/quarantine/_quarantine.py
+++ b/src/geraniumbend/quarantine/_quarantine.py
@@ -196,7 +196,6 @@
             if self._claimed_by_peer(fingerprint):
                 raise _build_trial_refusal()
             if self._suspect_requests.is_quarantined(fingerprint):
-                self._trial_fingerprint = ""
                 self.check(fingerprint)
         except BaseException:
             self.end_run(fingerprint)
@@ -299,6 +298,19 @@
             now - claimed_at < TRIAL_LIFETIME_S for claimed_at in claims.values()
         )
 
+    def _drop_expired_claims(self) -> None:
+        """Drop the claims of gateways that ended without releasing them."""
+        oldest_s = self._timers.now() - TRIAL_LIFETIME_S
+        live = {
+            fingerprint: {
+                node: claimed_at
+                for node, claimed_at in claims.items()
+                if claimed_at > oldest_s
+            }
+            for fingerprint, claims in self._claims.items()
+        }
+        self._claims = {name: claims for name, claims in live.items() if claims}
+
     async def _notify_peers(
         self, action: str, fingerprint: str, loss: str = ""
     ) -> None:
@@ -329,6 +341,7 @@
         elif notice.action == "clear":
             self._clear(notice.fingerprint)
         elif notice.action == "claim":
+            self._drop_expired_claims()
             claims = self._claims.setdefault(notice.fingerprint, {})
             claims[node] = self._timers.now()
         elif notice.action == "release":
--- a/src/geraniumbend/routing/_free_slot_finder.py
+++ b/src/geraniumbend/routing/_free_slot_finder.py
@@ -73,13 +73,19 @@
         end_s = self._timers.now() + max_wait_s
         while True:
             context = build_context()
-            members = self._prefer_healthy(list_members())
-            local = _list_local(members, context)
+            members = list_members()
+            healthy = self._prefer_healthy(members)
+            local = _list_local(healthy, context)
             if await self._probe_members(local, context):
                 return True
-            remote = [view for view in members if view not in local]
+            remote = [view for view in healthy if view not in local]
             if await self._probe_members(remote, build_context()):
                 return True
+            # A server that fails some requests still serves more than a refusal does.
+            failing = [view for view in members if view not in healthy]
+            is_needed = max_wait_s > 0 and not self._may_have_free_slot(healthy)
+            if is_needed and await self._probe_members(failing, build_context()):
+                return True
             if self._timers.now() + PROBE_PAUSE_S > end_s:
                 return False
             await self._timers.sleep(PROBE_PAUSE_S)
@@ -125,6 +131,14 @@
         usable = self._prefer_healthy(free)
         return _list_local(usable, context) or usable
 
+    def _may_have_free_slot(self, views: list[ServerView]) -> bool:
+        """Tell whether a fresh report shows a free slot on one of the servers."""
+        return any(
+            self._on_demand_probes.has_fresh_report(view)
+            and self._on_demand_probes.has_free_slot(view)
+            for view in views
+        )
+
     def _prefer_healthy(self, views: list[ServerView]) -> list[ServerView]:
         """Leave out failing servers, which may seem idle, unless all are failing."""
         now = self._timers.now()
--- a/tests/membership/test_cluster_joiner.py
+++ b/tests/membership/test_cluster_joiner.py
@@ -66,6 +66,16 @@
         self.assertTrue(joiner.joined)
         self.assertGreater(len(anti_entropy.contacted), 2)
 
+    async def test_process_joins_when_a_seed_returns_after_minutes(self):
+        """Guards against a process that stays alone after a long loss of its seeds."""
+        anti_entropy = FakeAntiEntropy(a="refuses")
+        joiner = self.build(anti_entropy)
+        await self.start(joiner, anti_entropy)
+        await self.timers.advance(60.0)
+        anti_entropy.seeds["a"] = "responds"
+        await self.timers.advance(1.0)
+        self.assertTrue(joiner.joined)
+
     async def test_process_without_seeds_has_joined(self):
         anti_entropy = FakeAntiEntropy()
         joiner = self.build(anti_entropy)
--- a/tests/membership/test_server_records_file.py
+++ b/tests/membership/test_server_records_file.py
@@ -5,7 +5,11 @@
 import unittest
 from pathlib import Path
 
+import msgspec
+import xxhash
+
 from geraniumbend.membership import ServerRecordsFile
+from geraniumbend.membership._server_records_file import FILE_NAME
 from geraniumbend.timers import LoopTimers
 from tests.membership.network import Cluster, announcement
 
@@ -24,6 +28,13 @@
     def load(self):
         return ServerRecordsFile(self.folder, list, LoopTimers()).load()
 
+    def test_file_of_another_release_is_ignored(self):
+        """Guards against a host that cannot start after a return to an old release."""
+        body = msgspec.msgpack.encode([{"kind": "server", "labels": 3}])
+        path = Path(self.folder) / FILE_NAME
+        path.write_bytes(xxhash.xxh64_digest(body) + body)
+        self.assertEqual(self.load(), [])
+
     async def test_cluster_that_lost_all_processes_restores_its_servers(self):
         cluster = Cluster(3)
         await cluster.start()
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -5,6 +5,7 @@
 
 from geraniumbend.errors import RefusedError
 from geraniumbend.quarantine import Quarantine
+from geraniumbend.quarantine._quarantine import NOTICE_KIND, TRIAL_LIFETIME_S
 from geraniumbend.timers import ManualTimers
 from tests.fakes import FakeBus, build_servers
 
@@ -34,6 +35,32 @@
             self.assert_refused(gateway)
         third.check("other")
 
+    async def test_trial_refused_because_of_a_second_loss_is_released(self):
+        """Guards against peers that wait for a trial that never ran."""
+        first, second, _ = self.gateways
+        await first.report_loss("p", "s0")
+        released = []
+        second._membership.subscribe_records(
+            NOTICE_KIND, lambda node, key, value: released.append(value)
+        )
+        start = asyncio.ensure_future(first.begin_run("p"))
+        await asyncio.sleep(0)
+        first._add_loss("p", "s1/0")
+        with self.assertRaises(RefusedError):
+            await start
+        await self.timers.advance(0.1)
+        self.assertIn(b"release", released[-1])
+
+    async def test_claims_of_gateways_that_are_gone_are_dropped(self):
+        first, second, _ = self.gateways
+        await first.report_loss("p", "s0")
+        await first.begin_run("p")
+        self.assertIn("p", second._claims)
+        await self.timers.advance(TRIAL_LIFETIME_S + 1)
+        await first.report_loss("q", "s1")
+        await self.gateways[2].begin_run("q")
+        self.assertNotIn("p", second._claims)
+
     async def test_one_loss_seen_by_several_gateways_counts_once(self):
         for gateway in self.gateways:
             await gateway.report_loss("p", "s0")
--- a/tests/routing/test_on_demand_probes.py
+++ b/tests/routing/test_on_demand_probes.py
@@ -117,6 +117,17 @@
         chosen = [await self.choose_without_trial() for _ in range(20)]
         self.assertNotIn("s0", chosen)
 
+    async def test_failing_server_is_used_while_the_others_are_full(self):
+        """Guards against refusals beside servers that shed a part of their requests."""
+        self.build(3)
+        view = self.table.view("s0")
+        for _ in range(3):
+            self.router.start_request(view, "c")
+            self.router.finish_request(view, "c", Outcome(503, 0.001, not_run=True))
+        self.loads.update(s0=(0, 1.0), s1=(4, 1.0), s2=(4, 1.0))
+        await self.router.probe_candidates("g", "c", (), 1.0, 0.1)
+        self.assertEqual(self.router.choose("g", "c", (), 1.0).server_id, "s0")
+
     async def choose_without_trial(self):
         await self.router.probe_candidates("g", "c", (), 0.3)
         return self.router.choose("g", "c", (), 0.3, trial=False).server_id
