Decide the outcome of a proposal in a test by a leader of the other side

The test healed the partition right after the proposal had failed, when nobody led: which side then won, and so whether the proposal stayed, followed from the random numbers of the seed. Both are allowed for an unknown outcome. The test now waits for the leader of the majority and checks as before; another one checks over six seeds that all replicas keep the proposal or none does.

--- a/tests/replication/test_partitions.py
+++ b/tests/replication/test_partitions.py
@@ -63,10 +63,34 @@
         with self.assertRaises(UnavailableError) as caught:
             await cluster.finish(leader.propose(b"unknown"))
         self.assertNotIsInstance(caught.exception, NotLeaderError)
+        # The outcome is decided by who leads next: the others, if they elect a leader
+        # before the partition ends.
+        await cluster.until(
+            lambda: any(
+                self.leads(cluster, name)
+                for name in cluster.nodes
+                if name != leader.node
+            ),
+            4 * cluster.settings.election_timeout_s,
+        )
         cluster.network.heal()
         await cluster.propose("second")
         self.assertEqual(await cluster.converge(), ["first", "second"])
 
+    async def test_proposal_of_unknown_outcome_is_kept_by_all_replicas_or_by_none(self):
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                cluster = await self.open(seed=seed)
+                leader = await cluster.leader()
+                cluster.network.isolate(leader.node, cluster.nodes)
+                with self.assertRaises(UnavailableError):
+                    await cluster.finish(leader.propose(b"unknown"))
+                cluster.network.heal()
+                await cluster.propose("second")
+                commands = await cluster.converge()
+                commands.remove("first")
+                self.assertIn(commands, (["second"], ["unknown", "second"]))
+
     @patch.object(_core, "COMPACT_ENTRIES", 50)
     @patch.object(_core, "TRAILING_ENTRIES", 10)
     @patch("geraniumbend.replication._peers.CHUNK_BYTES", 100)
