Count bytes by purpose and failure domain, and try silent connections to peers anew

Change: gauge traffic_bytes by purpose and scope, also in state dumps; a connection to a peer that is not open after 0.15 s is tried anew.

--- a/src/geraniumbend/adapters/_connection_pool.py
+++ b/src/geraniumbend/adapters/_connection_pool.py
@@ -54,6 +54,8 @@
         Returns this gateway's share of the server's connection limit, 0 to 1.
     tls : ssl.SSLContext or None, default=None
         TLS to the backend server.
+    count_bytes : callable or None, default=None
+        Called with the purpose and the bytes of each exchange.
     """
 
     def __init__(
@@ -62,8 +64,10 @@
         timers: TimerService,
         share: Callable[[], float],
         tls: ssl.SSLContext | None = None,
+        count_bytes: Callable[[str, int], None] | None = None,
     ) -> None:
         self.server = server
+        self._count_bytes = count_bytes
         self._timers = timers
         self._share = share
         self._tls = tls
@@ -263,6 +267,9 @@
 
     def _on_exchange_closed(self, exchange: Exchange, reusable: bool) -> None:
         self._open.discard(exchange)
+        if self._count_bytes is not None and exchange.purpose:
+            size = exchange.sent_bytes + exchange.protocol.received
+            self._count_bytes(exchange.purpose, size)
         generation = exchange.generation
         keep_alive_field = exchange.headers.get("Keep-Alive")
         if keep_alive_field is not None:
--- a/src/geraniumbend/adapters/_exchange.py
+++ b/src/geraniumbend/adapters/_exchange.py
@@ -54,6 +54,8 @@
         self.headers: Mapping[str, str] = {}
         self.raw_headers: Sequence[tuple[bytes, bytes]] = ()
         self.request_sent = False
+        self.purpose = ""
+        self.sent_bytes = 0
         # Time between the last response and this request on the connection, in seconds.
         self.idle_s = 0.0
         self._on_close: Callable[[Exchange, bool], None] | None = on_close
@@ -78,6 +80,8 @@
         if transport is None or transport.is_closing():
             raise UpstreamError("connection closed before use", "not_run")
         self.protocol.open_request(request.method)
+        self.purpose = request.purpose
+        self.sent_bytes = len(request.head) + len(request.body)
         if request.source is None:
             transport.write(request.head + request.body)
             self.request_sent = True
@@ -185,6 +189,7 @@
             writer.send_headers()
         try:
             while data := await source.read_body():
+                self.sent_bytes += len(data)
                 await writer.write(data)
             await writer.write_eof()
             self.request_sent = True
--- a/src/geraniumbend/adapters/_http_upstream.py
+++ b/src/geraniumbend/adapters/_http_upstream.py
@@ -4,6 +4,7 @@
 
 from geraniumbend.adapters._connection_pool import ConnectionPool
 from geraniumbend.proxying import UpstreamError
+from geraniumbend.traffic import ignore_traffic
 
 if TYPE_CHECKING:
     import ssl
@@ -13,6 +14,7 @@
     from geraniumbend.model import BackendServer
     from geraniumbend.proxying import UpstreamRequest
     from geraniumbend.timers import TimerService
+    from geraniumbend.traffic import CountBytes
 
 SWEEP_PERIOD_S = 1.0
 
@@ -30,6 +32,10 @@
         TLS to backend servers.
     on_unreachable : callable or None, default=None
         Called with the id of a server to which no connection could be opened.
+    count_bytes : callable, default=ignore_traffic
+        Counts the bytes of requests and responses.
+    failure_domain : str, default=""
+        Failure domain of this host.
     """
 
     def __init__(
@@ -38,7 +44,11 @@
         share: Callable[[], float],
         tls: ssl.SSLContext | None = None,
         on_unreachable: Callable[[str], None] | None = None,
+        count_bytes: CountBytes = ignore_traffic,
+        failure_domain: str = "",
     ) -> None:
+        self._count_bytes = count_bytes
+        self._failure_domain = failure_domain
         self._on_unreachable = on_unreachable
         self._timers = timers
         self._share = share
@@ -86,7 +96,12 @@
             # The id now belongs to another process; connections to the earlier one
             # are closed after their requests.
             pool.retire()
-        pool = ConnectionPool(server, self._timers, self._share, self._tls)
+        is_local = server.failure_domain == self._failure_domain
+
+        def count_bytes(purpose: str, size: int) -> None:
+            self._count_bytes(purpose, is_local, size)
+
+        pool = ConnectionPool(server, self._timers, self._share, self._tls, count_bytes)
         self._pools[server.server_id] = pool
         return pool
 
--- a/src/geraniumbend/adapters/_load_probe.py
+++ b/src/geraniumbend/adapters/_load_probe.py
@@ -69,6 +69,7 @@
             # A probe is not resent on another connection: it would load the server
             # twice.
             build_resend=lambda: None,
+            purpose="probes",
         )
         try:
             response = await self._upstream.send(server, request)
--- a/src/geraniumbend/adapters/_rpc_client.py
+++ b/src/geraniumbend/adapters/_rpc_client.py
@@ -7,12 +7,19 @@
 from geraniumbend import errors
 from geraniumbend.adapters._rpc_frames import FrameChannel
 from geraniumbend.errors import GeraniumbendError, UnavailableError
+from geraniumbend.traffic import ignore_traffic
 from geraniumbend.wire import decode, encode, load_structs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from geraniumbend.keys import KeyRing
+    from geraniumbend.traffic import CountBytes
 
 CONNECT_TIMEOUT_S = 1.0
+# Time after which a connection that is not open is tried anew, in seconds. The first
+# packet to a host that is just starting is lost, and TCP sends it again only after 1 s.
+CONNECT_ATTEMPT_S = 0.15
 # A connection that delivered nothing during a timed-out call of at least this length is
 # not used for new calls. A middlebox may have dropped its state for the connection,
 # while new connections work.
@@ -171,9 +178,7 @@
                 return self._connection
             host, _, port = self.address.rpartition(":")
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(
-                    host, int(port), limit=1024 * 1024
-                )
+                reader, writer = await _open_connection(host, int(port))
             channel = FrameChannel(reader, writer, self._keys, is_client=True)
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -192,11 +197,20 @@
     ----------
     keys : KeyRing
         Cluster keys.
+    count_bytes : callable, default=ignore_traffic
+        Counts the bytes of requests and responses; the purpose is the part of the
+        method before the first point.
     """
 
-    def __init__(self, keys: KeyRing) -> None:
+    def __init__(self, keys: KeyRing, count_bytes: CountBytes = ignore_traffic) -> None:
         self._keys = keys
         self._clients: dict[str, RpcClient] = {}
+        self._count_bytes = count_bytes
+        self._is_local: Callable[[str], bool] = lambda address: True
+
+    def set_locality(self, is_local: Callable[[str], bool]) -> None:
+        """Set the function that tells whether a peer address is in this domain."""
+        self._is_local = is_local
 
     async def call(
         self, address: str, method: str, body: bytes, timeout_s: float
@@ -205,7 +219,11 @@
         client = self._clients.get(address)
         if client is None:
             client = self._clients[address] = RpcClient(address, self._keys)
-        return await client.call(method, body, timeout_s)
+        purpose = method.partition(".")[0]
+        self._count_bytes(purpose, self._is_local(address), len(body))
+        response = await client.call(method, body, timeout_s)
+        self._count_bytes(purpose, self._is_local(address), len(response or b""))
+        return response
 
     async def close(self) -> None:
         """Close all clients."""
@@ -213,6 +231,17 @@
             await client.close()
 
 
+async def _open_connection(
+    host: str, port: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    while True:
+        try:
+            async with asyncio.timeout(CONNECT_ATTEMPT_S):
+                return await asyncio.open_connection(host, port, limit=1024 * 1024)
+        except TimeoutError:
+            continue
+
+
 def _restore_error(response: Any) -> GeraniumbendError:
     error_type = ERROR_TYPES.get(response.error_kind, UnavailableError)
     if error_type is errors.NotLeaderError:
--- a/src/geraniumbend/membership/_gossip.py
+++ b/src/geraniumbend/membership/_gossip.py
@@ -14,6 +14,7 @@
     pack_record,
     unpack_records,
 )
+from geraniumbend.traffic import ignore_traffic
 from geraniumbend.wire import decode, encode, load_structs
 
 if TYPE_CHECKING:
@@ -25,6 +26,7 @@
     from geraniumbend.membership._records import Identity
     from geraniumbend.ports import DatagramPort
     from geraniumbend.timers import Subscription, TimerService
+    from geraniumbend.traffic import CountBytes
 
 PING, ACK, PING_REQ, GOSSIP, NOTIFY, NOTIFY_ACK, RENEW = 1, 2, 3, 4, 5, 6, 7
 GOSSIP_PERIOD_S = 0.1
@@ -128,6 +130,7 @@
         self._lifetime: Callable[[Record], float] = lambda record: record.lifetime_s
         self._check_not_paused: Callable[[], bool] = lambda: True
         self._peers: GossipPeers | None = None
+        self._count_bytes: CountBytes = ignore_traffic
         self._subscriptions: list[Subscription] = []
         self._suppressed = False
         port.on_receive(self._handle_datagram)
@@ -138,6 +141,7 @@
         peers: GossipPeers,
         lifetime: Callable[[Record], float],
         check_not_paused: Callable[[], bool],
+        count_bytes: CountBytes = ignore_traffic,
     ) -> None:
         """Set the callbacks.
 
@@ -151,11 +155,14 @@
             Returns the remaining lifetime of a record in seconds.
         check_not_paused : callable
             Returns whether this process has run without a long pause.
+        count_bytes : callable, default=ignore_traffic
+            Counts the bytes of sent datagrams.
         """
         self._merge = merge
         self._peers = peers
         self._lifetime = lifetime
         self._check_not_paused = check_not_paused
+        self._count_bytes = count_bytes
 
     def register_handler(self, type: int, handler: Callable[[str, Any], None]) -> None:
         """Register the handler of a message type: sender address and message."""
@@ -320,7 +327,10 @@
             | fields,
         )
         payload = encode(message)
-        self._byte_budget.charge(len(payload) + DATAGRAM_OVERHEAD_BYTES)
+        size = len(payload) + DATAGRAM_OVERHEAD_BYTES
+        self._byte_budget.charge(size)
+        is_local = self._peers is not None and self._peers.is_local_address(address)
+        self._count_bytes("gossip", is_local, size)
         self._port.send(address, payload)
         return True
 
--- a/src/geraniumbend/membership/_gossip_peers.py
+++ b/src/geraniumbend/membership/_gossip_peers.py
@@ -85,6 +85,10 @@
             if member.failure_domain != self._failure_domain
         ]
 
+    def is_local_address(self, address: str) -> bool:
+        """Return whether a peer address is in this node's failure domain."""
+        return self._members.find_domain(address) == self._failure_domain
+
     def is_domain_scoped(self, kind: str) -> bool:
         """Return whether records of a kind are sent only within a failure domain.
 
--- a/src/geraniumbend/membership/_members.py
+++ b/src/geraniumbend/membership/_members.py
@@ -107,6 +107,7 @@
         self._gossip = gossip
         self._timers = timers
         self._live: list[Member] = []
+        self._domains: dict[str, str] = {}
         self._listeners: list[Callable[[Member], None]] = []
         self._on_declared_dead: Callable[[], None] = lambda: None
 
@@ -126,6 +127,10 @@
         """Return the live members sorted by name."""
         return [m for m in self._live if include_own or m.name != self.name]
 
+    def find_domain(self, address: str) -> str | None:
+        """Return the failure domain of the member at an address, None if unknown."""
+        return self._domains.get(address)
+
     def publish_own_state(self, state: int = ALIVE) -> Record:
         """Store and spread this node's record under its current incarnation."""
         record = self._build_record(
@@ -222,6 +227,7 @@
         deadline = self._timers.now() + DEAD_RETENTION_S if gone else None
         self._table.put(record, deadline)
         self.members[member.name] = member
+        self._domains[member.address] = member.failure_domain
         self._live = sorted(m for m in self.members.values() if m.live)
         _log_change(before, member)
         for listener in self._listeners:
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -24,6 +24,7 @@
 )
 from geraniumbend.membership._server_directory import ServerDirectory
 from geraniumbend.membership._server_records import LIVE, AnnouncedLoad, Announcement
+from geraniumbend.traffic import ignore_traffic
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -33,6 +34,7 @@
     from geraniumbend.ports import DatagramPort, RpcCaller
     from geraniumbend.settings import Settings
     from geraniumbend.timers import Subscription, TimerService
+    from geraniumbend.traffic import CountBytes
 
 REVISION_KIND = "revision"
 REVISION_LIFETIME_S = 3600.0
@@ -98,6 +100,8 @@
         Clock and periodic callbacks.
     rng : random.Random or None, default=None
         Source of randomness.
+    count_bytes : callable, default=ignore_traffic
+        Counts the bytes of sent datagrams.
     """
 
     def __init__(
@@ -107,6 +111,7 @@
         clients: RpcCaller,
         timers: TimerService,
         rng: random.Random | None = None,
+        count_bytes: CountBytes = ignore_traffic,
     ) -> None:
         self.name = options.name
         self._options = options
@@ -164,6 +169,7 @@
             self._peers,
             self._lifetime,
             self._pause_recovery.check_not_paused,
+            count_bytes,
         )
         self._members.on_declared_dead(self._schedule_anti_entropy)
         self._server: Any = None
@@ -180,6 +186,7 @@
         timers: TimerService,
         port: DatagramPort | None = None,
         keys: KeyRing | None = None,
+        count_bytes: CountBytes = ignore_traffic,
     ) -> Membership:
         """Build the membership of a process.
 
@@ -198,6 +205,8 @@
         keys : KeyRing or None, default=None
             Keys of the UDP socket; the process shares one ring, so that a rotation
             reaches all its sockets. Built from the settings when None.
+        count_bytes : callable, default=ignore_traffic
+            Counts the bytes of sent datagrams.
 
         Returns
         -------
@@ -222,7 +231,7 @@
             bytes_per_second=peer.bytes_per_second,
             incarnation=boot // 1_000_000,
         )
-        return cls(options, port, clients, timers)
+        return cls(options, port, clients, timers, count_bytes=count_bytes)
 
     def register(self, server: Any) -> None:
         """Register the RPC methods; a UDP port of 0 becomes the server's port.
@@ -312,6 +321,10 @@
         """Failure domain of this node."""
         return self._options.failure_domain
 
+    def is_local_address(self, address: str) -> bool:
+        """Return whether a peer address is in this node's failure domain."""
+        return self._peers.is_local_address(address)
+
     def list_live_gateways(self) -> list[Member]:
         """Return the live gateways, including this one, sorted by name."""
         return self._live_gateways()
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -95,6 +95,8 @@
     is_server_full : callable or None, default=None
         Tells whether the server has more requests than slots by its last report. A full
         server may reset connections, which is no sign of a crash, and gets no new ones.
+    purpose : str, default="requests"
+        Purpose under which the bytes of the request and its response are counted.
     """
 
     method: str
@@ -107,6 +109,7 @@
     silence_timeout_s: float
     build_resend: Callable[[], UpstreamRequest | None] | None = None
     is_server_full: Callable[[], bool] | None = None
+    purpose: str = "requests"
 
 
 class UpstreamResponse(Protocol):
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -21,6 +21,7 @@
 from geraniumbend.roles._member_reconciler import MemberReconciler
 from geraniumbend.routing import policies
 from geraniumbend.timers import PROCESS_START_S, LoopTimers
+from geraniumbend.traffic import TrafficCounters
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,10 +59,16 @@
         self.timers = self._timers = timers = LoopTimers()
         self._address = f"{settings.node.address}:{listen.port}"
         self._rpc = RpcServer(listen.host, listen.port, keys)
-        self._clients = RpcClients(keys)
+        self._traffic = TrafficCounters()
+        self._clients = RpcClients(keys, self._traffic.count)
         self._membership = Membership.from_config(
-            settings, "control", self._clients, timers
+            settings,
+            "control",
+            self._clients,
+            timers,
+            count_bytes=self._traffic.count,
         )
+        self._clients.set_locality(self._membership.is_local_address)
         self._store = ConfigurationStore()
         self._configuration_log = self._create_replica("config", self._store)
         shards = []
@@ -155,6 +162,7 @@
         return {
             "node": self._settings.node.name,
             "role": "control",
+            "traffic": self._traffic.dump(),
             "configuration": self._service.dump(),
             "orders": self._orders.dump(),
             "logs": [replica.dump() for replica in self._replicas],
@@ -195,6 +203,13 @@
         def by_log(read: Callable[[Replica], float]) -> dict[tuple[str, ...], float]:
             return {(log.shard,): read(log) for log in self._replicas}
 
+        metrics.declare_gauge(
+            "traffic_bytes",
+            "Bytes exchanged with other hosts by purpose; scope local or remote tells "
+            "whether they are in the same failure domain.",
+            self._traffic.read_gauge,
+            ("purpose", "scope"),
+        )
         metrics.declare_gauge(
             "log_leader",
             "1 if this host is the leader of the log, otherwise 0.",
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -31,6 +31,7 @@
     parse_selector,
 )
 from geraniumbend.timers import LoopTimers, Subscription
+from geraniumbend.traffic import TrafficCounters
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -67,10 +68,16 @@
         self._seeds = settings.control.founders
         self.timers = self._timers = timers = LoopTimers()
         self._rpc = RpcServer(listen.host, listen.port, keys)
-        self._clients = RpcClients(keys)
+        self._traffic = TrafficCounters()
+        self._clients = RpcClients(keys, self._traffic.count)
         self._membership = Membership.from_config(
-            settings, "gateway", self._clients, timers
+            settings,
+            "gateway",
+            self._clients,
+            timers,
+            count_bytes=self._traffic.count,
         )
+        self._clients.set_locality(self._membership.is_local_address)
         self._rate_totals = RateTotals(self._membership, timers)
         self._shares = GatewayShares.from_config(
             settings, self._membership, self._rate_totals, timers
@@ -83,7 +90,7 @@
             self._configuration_view,
             timers,
             self._list_control_hosts,
-            self._is_local_host,
+            self._membership.is_local_address,
         )
         self._table = ServerTable(timers)
         self._on_demand_probes = OnDemandProbes(
@@ -101,6 +108,8 @@
             self._shares.gateway_share,
             backend_certificates.context if backend_certificates else None,
             self._membership.report_failed,
+            self._traffic.count,
+            settings.node.failure_domain,
         )
         self._probes = ProbeScheduler.from_config(
             settings, self._table, self._shares, timers
@@ -225,6 +234,7 @@
             "quarantine": [entry._asdict() for entry in self._quarantine.entries()],
             "connections": self._upstream.dump(),
             "membership": self._membership.dump(),
+            "traffic": self._traffic.dump(),
         }
 
     def render_metrics(self) -> bytes:
@@ -256,13 +266,6 @@
             return list(self._seeds)
         return live or [member.address for member in known]
 
-    def _is_local_host(self, address: str) -> bool:
-        domain = self._membership.failure_domain
-        return any(
-            member.address == address and member.failure_domain == domain
-            for member in self._membership.known_members()
-        )
-
     async def _probe(self, view: ServerView) -> Mapping[str, float] | None:
         groups = self._configuration_view.current.groups
         paths = [groups[name].health_path for name in view.groups if name in groups]
@@ -283,6 +286,13 @@
             "Caller requests in flight.",
             lambda: {(): float(self._caller_listener.in_flight())},
         )
+        metrics.declare_gauge(
+            "traffic_bytes",
+            "Bytes exchanged with other hosts by purpose; scope local or remote tells "
+            "whether they are in the same failure domain.",
+            self._traffic.read_gauge,
+            ("purpose", "scope"),
+        )
 
         def observe(
             group: str, request_class: str, status: int, duration_s: float
--- a/tests/adapters/test_rpc.py
+++ b/tests/adapters/test_rpc.py
@@ -4,6 +4,7 @@
 import os
 import random
 import unittest
+import unittest.mock
 
 import uvloop
 
@@ -66,6 +67,21 @@
         with self.assertRaises(asyncio.CancelledError):
             await calling
 
+    async def test_connection_is_tried_anew_when_its_first_packet_was_lost(self):
+        """Guards against a start that waits a second for TCP to repeat a packet."""
+        open_connection = asyncio.open_connection
+        attempts = []
+
+        async def lose_first(*arguments, **options):
+            attempts.append(asyncio.get_running_loop().time())
+            if len(attempts) == 1:
+                await asyncio.sleep(60)
+            return await open_connection(*arguments, **options)
+
+        with unittest.mock.patch.object(asyncio, "open_connection", lose_first):
+            self.assertEqual(await self.client.call("echo", b"x", 0.9), b"x")
+        self.assertEqual(len(attempts), 2)
+
     async def test_slow_call_times_out_without_affecting_others(self):
         with self.assertRaises(UnavailableError):
             await self.client.call("hang", b"", 0.05)
