Admit callers that move to a gateway while the servers have free slots

Change: until the servers report 0.8 of their slots busy, the share is at least an equal one; above, the share of the demand counts as before, which keeps opens whole at the crest.

--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -45,7 +45,11 @@
 
 
 class SharePort(Protocol):
-    """Provides this gateway's share of the demand for a group."""
+    """Provides this gateway's shares of capacity and demand."""
+
+    def gateway_share(self) -> float:
+        """Return one divided by the number of live gateways."""
+        ...
 
     def demand_share(self, group: str) -> float:
         """Return this gateway's share of the demand."""
@@ -251,8 +255,8 @@
         return rank + 1 if exceeds_queue_share else rank
 
     def _update_limits(self, pool: _PoolState, now: float) -> None:
-        pool.slots = self._own_slots(pool)
         utilization = self._table.utilization(pool.group)
+        pool.slots = self._own_slots(pool, utilization)
         pool.limit = max(1, math.ceil(pool.slots * IN_FLIGHT_FACTOR))
         if 0 < utilization < SPARE_CAPACITY_UTILIZATION:
             # Callers are spread unevenly over gateways, and shares adapt only after
@@ -277,8 +281,15 @@
                 slots=round(pool.slots, 2),
             )
 
-    def _own_slots(self, pool: _PoolState) -> float:
-        """Return this gateway's share of the slots of a pool."""
+    def _own_slots(self, pool: _PoolState, utilization: float) -> float:
+        """Return this gateway's share of the slots of a pool.
+
+        The share of the demand follows seconds after callers have moved here. Until the
+        servers report that they are busy, the gateway may use at least an equal share.
+        """
+        share = self._shares.demand_share(pool.group)
+        if utilization < SPARE_CAPACITY_UTILIZATION:
+            share = max(share, self._shares.gateway_share())
         pools = self._table.pools.pools(pool.group)
         if not pool.long:
             slots = sum(view.slots for view in pools.short)
@@ -287,7 +298,7 @@
         else:
             # A group without a long pool lets long requests use half of its slots.
             slots = max(1, self._table.slots(pool.group) // 2)
-        return slots * self._shares.demand_share(pool.group)
+        return slots * share
 
     async def _wait_in_queue(
         self,
