--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -24,6 +24,7 @@
 )
 from geraniumbend.membership._server_directory import ServerDirectory
 from geraniumbend.membership._server_records import LIVE, AnnouncedLoad, Announcement
+from geraniumbend.membership._synchronisation import Synchronisation
 from geraniumbend.traffic import ignore_traffic
 
 if TYPE_CHECKING:
@@ -39,12 +40,9 @@
 REVISION_KIND = "revision"
 REVISION_LIFETIME_S = 3600.0
 MAINTENANCE_PERIOD_S = 0.25
-ANTI_ENTROPY_PERIOD_S = 5.0
-FOLLOW_UP_DELAY_S = 0.7
 # Longest time in seconds that a start waits for a seed to respond. After a failure of
 # the whole cluster the other nodes may come back later.
 JOIN_MAX_WAIT_S = 0.4
-STARTUP_SYNC_DELAYS_S = (0.5, 1.5)
 MAX_LEAVE_MESSAGES = 30
 
 declare_event(
@@ -171,11 +169,18 @@
             self._pause_recovery.check_not_paused,
             count_bytes,
         )
-        self._members.on_declared_dead(self._schedule_anti_entropy)
+        self._synchronisation = Synchronisation(
+            self._anti_entropy,
+            self._peers,
+            self._members,
+            self._pause_recovery,
+            lambda: self._options.seeds,
+            timers,
+            self._rng,
+        )
         self._server: Any = None
-        self._subscriptions: list[Subscription] = []
+        self._maintenance: Subscription | None = None
         self._records_rejected = 0
-        self._follow_up_scheduled = False
 
     @classmethod
     def from_config(
@@ -261,18 +266,13 @@
         self._anti_entropy.serving = True
         self._gossip.start()
         self._failure_detector.start()
-        every = self._timers.every
-        self._subscriptions = [
-            every(MAINTENANCE_PERIOD_S, self._run_maintenance),
-            every(ANTI_ENTROPY_PERIOD_S, self._run_anti_entropy, 0.2),
-            every(ANTI_ENTROPY_PERIOD_S, self._reconnect_lost_members, 0.4),
-        ]
+        self._maintenance = self._timers.every(
+            MAINTENANCE_PERIOD_S, self._run_maintenance
+        )
+        self._synchronisation.start(address)
         seeds = [seed for seed in self._options.seeds if seed != address]
         await self._cluster_joiner.start(seeds, JOIN_MAX_WAIT_S)
-        # The seed does not yet know nodes that started at the same time as this one.
-        for delay_s in STARTUP_SYNC_DELAYS_S:
-            subscription = self._timers.after(delay_s, self._run_anti_entropy)
-            self._subscriptions.append(subscription)
+        self._synchronisation.schedule_startup_rounds()
 
     async def stop(self) -> None:
         """Announce that this node leaves and close the socket."""
@@ -282,8 +282,9 @@
             self._gossip.send(GOSSIP, address, records=[record])
         self._pause_recovery.stop()
         self._cluster_joiner.stop()
-        for subscription in self._subscriptions:
-            subscription.cancel()
+        if self._maintenance is not None:
+            self._maintenance.cancel()
+        self._synchronisation.stop()
         self._gossip.stop()
         self._failure_detector.stop()
         self._anti_entropy.serving = False
@@ -542,9 +543,6 @@
         self._rng.shuffle(peers)
         return (peers + list(self._options.seeds))[:5]
 
-    def _schedule_anti_entropy(self) -> None:
-        self._subscriptions.append(self._timers.after(0.0, self._run_anti_entropy))
-
     def _run_maintenance(self) -> None:
         if (
             not self._pause_recovery.check_not_paused()
@@ -563,38 +561,3 @@
         self._published_records.set_sharing_nodes(
             self._peers.count_ephemeral_peers() + 1
         )
-
-    async def _run_anti_entropy(self) -> None:
-        if (
-            not self._pause_recovery.check_not_paused()
-            or self._pause_recovery.recovering
-        ):
-            return
-        peer = self._peers.choose_sync_peer()
-        if peer is None:
-            return
-        differences_found = self._anti_entropy.differences_found
-        await self._anti_entropy.run([peer], drop_unconfirmed=False)
-        if (
-            self._anti_entropy.differences_found > differences_found
-            and not self._follow_up_scheduled
-        ):
-            # When records differed once, others are likely to be missing too.
-            self._follow_up_scheduled = True
-            delay = FOLLOW_UP_DELAY_S * self._rng.uniform(0.5, 1.5)
-            self._timers.after(delay, self._run_follow_up)
-
-    async def _run_follow_up(self) -> None:
-        self._follow_up_scheduled = False
-        await self._run_anti_entropy()
-
-    async def _reconnect_lost_members(self) -> None:
-        """Synchronise with one seed or dead member, so that partitions merge again."""
-        live = set(self._peers.list_addresses())
-        own = f"{self._options.host}:{self._port.address.rpartition(':')[2]}"
-        lost = {m.address for m in self._members.members.values() if m.state == "dead"}
-        candidates = sorted((lost | set(self._options.seeds)) - live - {own})
-        if candidates:
-            await self._anti_entropy.run(
-                [self._rng.choice(candidates)], drop_unconfirmed=False
-            )
--- /dev/null
+++ b/src/geraniumbend/proxying/_attempt.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from geraniumbend.errors import RefusedError
+
+if TYPE_CHECKING:
+    from geraniumbend.proxying._context import RequestContext
+    from geraniumbend.proxying._ports import UpstreamError, UpstreamResponse
+    from geraniumbend.routing import ServerView
+
+# Retry-After in seconds for a request that was shed without a stated delay. It is short
+# because the other servers of the group may have free slots.
+SHED_RETRY_AFTER_S = 0.05
+
+
+class Attempt:
+    """One try to get a response from one backend server.
+
+    Parameters
+    ----------
+    view : ServerView
+        Backend server.
+    started_s : float
+        Reading of the timer service's clock.
+
+    Attributes
+    ----------
+    not_run : bool
+        Whether the backend server states that it did not run the request.
+    head_latency_s : float
+        Time from the start of the attempt to the head of the response, in seconds.
+    response : UpstreamResponse or None
+        Response, once its head has arrived.
+    finished : bool
+        Whether the outcome was reported to the router.
+    """
+
+    __slots__ = (
+        "finished",
+        "head_latency_s",
+        "not_run",
+        "response",
+        "started_s",
+        "view",
+    )
+
+    def __init__(self, view: ServerView, started_s: float) -> None:
+        self.not_run = False
+        self.view = view
+        self.started_s = started_s
+        self.head_latency_s = 0.0
+        self.response: UpstreamResponse | None = None
+        self.finished = False
+
+
+def build_failure_refusal(
+    context: RequestContext, error: UpstreamError
+) -> RefusedError:
+    """Return the refusal of a request to which no backend server responded."""
+    if error.timed_out:
+        return context.build_refusal(error, 504, "deadline_passed")
+    if context.unresolved_attempts:
+        return context.build_refusal(error, 502, "backend_failed")
+    return context.build_refusal(error, 503, "backend_unreachable", 1.0)
+
+
+def build_shed_refusal(
+    context: RequestContext, response: UpstreamResponse
+) -> RefusedError:
+    """Return the refusal of a request that the last server tried did not run."""
+    after = response.headers.get("Retry-After", "")
+    stated = after.isdecimal() and len(after) < 6
+    delay_s = float(after) if stated else SHED_RETRY_AFTER_S
+    cause = RefusedError("backend server shed the request before running it")
+    return context.build_refusal(cause, 503, "shed", delay_s)
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -3,6 +3,11 @@
 from typing import TYPE_CHECKING
 
 from geraniumbend.errors import RefusedError
+from geraniumbend.proxying._attempt import (
+    Attempt,
+    build_failure_refusal,
+    build_shed_refusal,
+)
 from geraniumbend.proxying._hedge import HedgedRequest
 from geraniumbend.proxying._ports import UpstreamError
 from geraniumbend.proxying._relay import parse_content_length
@@ -23,14 +28,10 @@
         UpstreamResponse,
     )
     from geraniumbend.proxying._request_log import RequestLog
-    from geraniumbend.routing import ServerView
     from geraniumbend.timers import TimerService
 
 # Statuses of a failing backend server; a retry on another one may succeed.
 RETRIED_STATUSES = frozenset((500, 502, 503, 504))
-# Retry-After in seconds for a request that was shed without a stated delay. It is short
-# because the other servers of the group may have free slots.
-SHED_RETRY_AFTER_S = 0.05
 # A request that waits for a free slot keeps this multiple of the mean service time for
 # its response.
 SERVICE_TIME_FACTOR = 1.5
@@ -38,46 +39,6 @@
 MAX_WAIT_SHARE = 0.4
 
 
-class Attempt:
-    """One try to get a response from one backend server.
-
-    Parameters
-    ----------
-    view : ServerView
-        Backend server.
-    started_s : float
-        Reading of the timer service's clock.
-
-    Attributes
-    ----------
-    not_run : bool
-        Whether the backend server states that it did not run the request.
-    head_latency_s : float
-        Time from the start of the attempt to the head of the response, in seconds.
-    response : UpstreamResponse or None
-        Response, once its head has arrived.
-    finished : bool
-        Whether the outcome was reported to the router.
-    """
-
-    __slots__ = (
-        "finished",
-        "head_latency_s",
-        "not_run",
-        "response",
-        "started_s",
-        "view",
-    )
-
-    def __init__(self, view: ServerView, started_s: float) -> None:
-        self.not_run = False
-        self.view = view
-        self.started_s = started_s
-        self.head_latency_s = 0.0
-        self.response: UpstreamResponse | None = None
-        self.finished = False
-
-
 class Attempts:
     """Sends a request to backend servers until one of them responds without failing.
 
@@ -151,7 +112,7 @@
                     not_run = error.run == "not_run"
                     successor = await self._begin_retry(context, not_run)
                 if successor is None:
-                    raise _build_failure_refusal(context, error) from error
+                    raise build_failure_refusal(context, error) from error
                 self._log.log_attempt(context, successor, error.message)
             else:
                 response = attempt.response
@@ -166,7 +127,7 @@
                     return attempt
                 self.finish(attempt, context)
                 if successor is None:
-                    raise _build_shed_refusal(context, response)
+                    raise build_shed_refusal(context, response)
                 reason = (
                     "backend server did not run it"
                     if not_run
@@ -467,23 +428,3 @@
             await self.send(first, context)
             return first
         return await HedgedRequest(self, first, context).run(delay_s)
-
-
-def _build_failure_refusal(
-    context: RequestContext, error: UpstreamError
-) -> RefusedError:
-    if error.timed_out:
-        return context.build_refusal(error, 504, "deadline_passed")
-    if context.unresolved_attempts:
-        return context.build_refusal(error, 502, "backend_failed")
-    return context.build_refusal(error, 503, "backend_unreachable", 1.0)
-
-
-def _build_shed_refusal(
-    context: RequestContext, response: UpstreamResponse
-) -> RefusedError:
-    after = response.headers.get("Retry-After", "")
-    stated = after.isdecimal() and len(after) < 6
-    delay_s = float(after) if stated else SHED_RETRY_AFTER_S
-    cause = RefusedError("backend server shed the request before running it")
-    return context.build_refusal(cause, 503, "shed", delay_s)
--- a/src/geraniumbend/proxying/_hedge.py
+++ b/src/geraniumbend/proxying/_hedge.py
@@ -7,7 +7,8 @@
 from geraniumbend.proxying._ports import UpstreamError
 
 if TYPE_CHECKING:
-    from geraniumbend.proxying._attempts import Attempt, Attempts
+    from geraniumbend.proxying._attempt import Attempt
+    from geraniumbend.proxying._attempts import Attempts
     from geraniumbend.proxying._context import RequestContext
 
 
--- a/src/geraniumbend/proxying/_order_executor.py
+++ b/src/geraniumbend/proxying/_order_executor.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from geraniumbend.proxying._attempts import Attempt, Attempts
+    from geraniumbend.proxying._attempt import Attempt
+    from geraniumbend.proxying._attempts import Attempts
     from geraniumbend.proxying._context import RequestContext
     from geraniumbend.proxying._ports import OrdersPort
     from geraniumbend.timers import TimerService
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -20,7 +20,7 @@
     from collections.abc import Awaitable, Callable
 
     from geraniumbend.model import Rule
-    from geraniumbend.proxying._attempts import Attempt
+    from geraniumbend.proxying._attempt import Attempt
     from geraniumbend.proxying._dialect import Dialect
     from geraniumbend.proxying._order_executor import ReadResponse, StoredResponse
     from geraniumbend.proxying._ports import (
--- a/src/geraniumbend/proxying/_request_log.py
+++ b/src/geraniumbend/proxying/_request_log.py
@@ -5,7 +5,7 @@
 from geraniumbend.logs import declare_event, log_event
 
 if TYPE_CHECKING:
-    from geraniumbend.proxying._attempts import Attempt
+    from geraniumbend.proxying._attempt import Attempt
     from geraniumbend.proxying._context import RequestContext
     from geraniumbend.routing import ServerView
     from geraniumbend.timers import TimerService
