--- a/src/geraniumbend/membership/_gossip_peers.py
+++ b/src/geraniumbend/membership/_gossip_peers.py
@@ -64,6 +64,9 @@
         self._members = members
         self._failure_domain = failure_domain
         self._rng = rng
+        self._live: list[Member] = []
+        self._local: list[Member] = []
+        self._remote: list[Member] = []
 
     def list_addresses(self) -> list[str]:
         """Return the addresses of all live peers."""
@@ -71,19 +74,13 @@
 
     def list_local(self) -> list[Member]:
         """Return the live peers in this node's failure domain."""
-        return [
-            member
-            for member in self._members.live()
-            if member.failure_domain == self._failure_domain
-        ]
+        self._update()
+        return self._local
 
     def list_remote(self) -> list[Member]:
         """Return the live peers in other failure domains."""
-        return [
-            member
-            for member in self._members.live()
-            if member.failure_domain != self._failure_domain
-        ]
+        self._update()
+        return self._remote
 
     def is_local_address(self, address: str) -> bool:
         """Return whether a peer address is in this node's failure domain."""
@@ -155,6 +152,16 @@
             return self._rng.choice(local).address
         return self._rng.choice(remote).address if remote else None
 
+    def _update(self) -> None:
+        """Divide the live members by domain again if they have changed."""
+        live = self._members.live()
+        if live is self._live:
+            return
+        domain = self._failure_domain
+        self._live = live
+        self._local = [m for m in live if m.failure_domain == domain]
+        self._remote = [m for m in live if m.failure_domain != domain]
+
     def is_remote_probe_due(self) -> bool:
         """Decide at random whether a probe goes to another failure domain too."""
         return not self.list_local() or self._rng.random() < REMOTE_SHARE
--- a/src/geraniumbend/membership/_members.py
+++ b/src/geraniumbend/membership/_members.py
@@ -107,6 +107,7 @@
         self._gossip = gossip
         self._timers = timers
         self._live: list[Member] = []
+        self._live_peers: list[Member] = []
         self._domains: dict[str, str] = {}
         self._listeners: list[Callable[[Member], None]] = []
         self._on_declared_dead: Callable[[], None] = lambda: None
@@ -124,8 +125,12 @@
         self._own = self._own._replace(address=address)
 
     def live(self, include_own: bool = False) -> list[Member]:
-        """Return the live members sorted by name."""
-        return [m for m in self._live if include_own or m.name != self.name]
+        """Return the live members sorted by name; callers must not change the list.
+
+        The same list is returned until a member changes, so callers may cache what they
+        derive from it.
+        """
+        return self._live if include_own else self._live_peers
 
     def find_domain(self, address: str) -> str | None:
         """Return the failure domain of the member at an address, None if unknown."""
@@ -229,6 +234,7 @@
         self.members[member.name] = member
         self._domains[member.address] = member.failure_domain
         self._live = sorted(m for m in self.members.values() if m.live)
+        self._live_peers = [m for m in self._live if m.name != self.name]
         _log_change(before, member)
         for listener in self._listeners:
             listener(member)
