--- a/src/geraniumbend/routing/_server_views.py
+++ b/src/geraniumbend/routing/_server_views.py
@@ -35,10 +35,6 @@
 # rate, in seconds.
 ERROR_WEIGHT = 0.15
 ERROR_DECAY_S = 8.0
-# Weight of a request that a server refused although it reported free slots. One such
-# refusal makes it count as failing for some seconds: a gateway of a large deployment
-# sends a server too few requests to learn from several.
-UNFOUNDED_REFUSAL_WEIGHT = 0.3
 # A server with at least this share of failed requests counts as failing: it is passed
 # over while other servers can be used.
 FAILING_RATE = 0.2
@@ -158,10 +154,7 @@
             return
         failed = outcome.failed or outcome.status >= 500
         rate = self.error_rate(now)
-        weight = ERROR_WEIGHT
-        if outcome.not_run and self._reports_free_slots(now):
-            weight = UNFOUNDED_REFUSAL_WEIGHT
-        self._error_rate = rate + weight * (failed - rate)
+        self._error_rate = rate + ERROR_WEIGHT * (failed - rate)
         self._error_at = now
         if not failed:
             self._update_latency(request_class, outcome.latency_s, now)
@@ -351,12 +344,6 @@
             self._ramp_slice_admits = rng.random() < weight
         return 1.0 if self._ramp_slice_admits else weight
 
-    def _reports_free_slots(self, now: float) -> bool:
-        reported = self.reported_in_flight()
-        if reported is None or now - self.report_at > FRESH_REPORT_S:
-            return False
-        return reported < self.slots
-
     def _update_latency(self, request_class: str, latency_s: float, now: float) -> None:
         report = self.report
         if report is not None and report.slowdown and now - self.report_at < 0.01:
