Let attempts to connect to a peer grow, so that far regions are reached

Found while reading the diff: every attempt ended after 0.15 s, so a peer with a longer round trip could never be connected. Each attempt now has twice the time of the one before; a test with 0.25 s failed before.

--- a/src/geraniumbend/adapters/_rpc_client.py
+++ b/src/geraniumbend/adapters/_rpc_client.py
@@ -17,9 +17,10 @@
     from geraniumbend.traffic import CountBytes
 
 CONNECT_TIMEOUT_S = 1.0
-# Time after which a connection that is not open is tried anew, in seconds. The first
-# packet to a host that is just starting is lost, and TCP sends it again only after 1 s.
-CONNECT_ATTEMPT_S = 0.15
+# Time after which a connection that is not open is tried anew, in seconds; it doubles
+# with each attempt, for peers of distant regions. The first packet to a host that is
+# just starting is lost, and TCP sends it again only after 1 s.
+FIRST_CONNECT_ATTEMPT_S = 0.15
 # A connection that delivered nothing during a timed-out call of at least this length is
 # not used for new calls. A middlebox may have dropped its state for the connection,
 # while new connections work.
@@ -234,12 +235,13 @@
 async def _open_connection(
     host: str, port: int
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    attempt_s = FIRST_CONNECT_ATTEMPT_S
     while True:
         try:
-            async with asyncio.timeout(CONNECT_ATTEMPT_S):
+            async with asyncio.timeout(attempt_s):
                 return await asyncio.open_connection(host, port, limit=1024 * 1024)
         except TimeoutError:
-            continue
+            attempt_s *= 2
 
 
 def _restore_error(response: Any) -> GeraniumbendError:
--- a/tests/adapters/test_rpc.py
+++ b/tests/adapters/test_rpc.py
@@ -82,6 +82,17 @@
             self.assertEqual(await self.client.call("echo", b"x", 0.9), b"x")
         self.assertEqual(len(attempts), 2)
 
+    async def test_peer_with_a_long_round_trip_can_be_connected(self):
+        """Guards against attempts that are all shorter than the way to a far region."""
+        open_connection = asyncio.open_connection
+
+        async def delay(*arguments, **options):
+            await asyncio.sleep(0.25)
+            return await open_connection(*arguments, **options)
+
+        with unittest.mock.patch.object(asyncio, "open_connection", delay):
+            self.assertEqual(await self.client.call("echo", b"x", 2.0), b"x")
+
     async def test_slow_call_times_out_without_affecting_others(self):
         with self.assertRaises(UnavailableError):
             await self.client.call("hang", b"", 0.05)
