Let commands wait for an election

It kills one of three hosts; if that one leads, the others respond that they have no leader, and the command ended with exit code 6 although a leader follows within a second.

Change: while at least one host responds, a command tries all of them again for up to 5 s.

--- a/src/geraniumbend/cli/_client.py
+++ b/src/geraniumbend/cli/_client.py
@@ -9,6 +9,10 @@
 
 # Total time of one request to a control host, in seconds.
 REQUEST_TIMEOUT_S = 60.0
+# Longest time in seconds that a command waits for hosts that respond that they are
+# unavailable, as they do during an election.
+ELECTION_WAIT_S = 5.0
+ROUND_PAUSE_S = 0.2
 ERROR_BY_STATUS: dict[int, type[GeraniumbendError]] = {
     400: errors.ConfigurationError,
     401: errors.AuthenticationError,
@@ -52,7 +56,8 @@
     """Call the operators' API of the first available control host.
 
     Control hosts are tried in the given order. One that cannot be reached or responds
-    that it is unavailable is skipped.
+    that it is unavailable is skipped. While at least one responds, all are tried again
+    for up to `ELECTION_WAIT_S`.
 
     Parameters
     ----------
@@ -86,28 +91,37 @@
     token = os.environ.get("GERANIUMBEND_TOKEN", "")
     headers = {"Authorization": f"Bearer {token}"} if token else {}
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S, sock_connect=2)
-    last_error: Exception | None = None
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + ELECTION_WAIT_S
     async with aiohttp.ClientSession(headers=headers, timeout=timeout) as session:
-        for address in addresses:
-            try:
-                async with session.request(
-                    method, address + path, json=body
-                ) as response:
-                    content = await response.json(content_type=None)
-                    if response.status < 400:
-                        return content
-                    api_error = _rebuild_error(response.status, content)
-                    if not isinstance(api_error, UnavailableError):
-                        raise api_error
-                    last_error = api_error
-            except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-                last_error = error
+        while True:
+            last_error: Exception | None = None
+            is_any_running = False
+            for address in addresses:
+                try:
+                    return await _call_host(session, method, address + path, body)
+                except UnavailableError as error:
+                    is_any_running = True
+                    last_error = error
+                except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+                    last_error = error
+            if not is_any_running or loop.time() >= end_s:
+                break
+            await asyncio.sleep(ROUND_PAUSE_S)
     raise UnavailableError(
         f"no control host is available: {last_error}",
         "check --api and that a majority of the control hosts is running",
     )
 
 
+async def _call_host(session: Any, method: str, url: str, body: Any) -> Any:
+    async with session.request(method, url, json=body) as response:
+        content = await response.json(content_type=None)
+        if response.status < 400:
+            return content
+        raise _rebuild_error(response.status, content)
+
+
 def _rebuild_error(status: int, content: Any) -> GeraniumbendError:
     document = content if isinstance(content, dict) else {}
     message = str(document.get("title", f"status {status}"))
