Reuse open connections for probes, and keep the subset of a large group

Besides, the subset was hashed anew whenever any server changed or the smoothed share moved, which it does all the time.

Change: servers are ordered for probing with twice the score if a new connection is needed, except those that have joined recently. The subset is computed when a member of the group or the size changes.

--- a/src/geraniumbend/adapters/_connection_pool.py
+++ b/src/geraniumbend/adapters/_connection_pool.py
@@ -163,6 +163,13 @@
             "patience": self._recovery.timeout_factor,
         }
 
+    def has_idle_connection(self) -> bool:
+        """Return whether a safe request would reuse a connection."""
+        idle = self.current.idle
+        return (
+            bool(idle) and self._timers.now() - idle[-1].since_s <= self._idle_limit_s
+        )
+
     def create_generation(self) -> Generation:
         """Return a generation without connections."""
         self._generations += 1
--- a/src/geraniumbend/adapters/_http_upstream.py
+++ b/src/geraniumbend/adapters/_http_upstream.py
@@ -75,6 +75,11 @@
         for server_id in [name for name in self._pools if name not in known]:
             self._pools.pop(server_id).retire()
 
+    def has_idle_connection(self, server_id: str) -> bool:
+        """Return whether an open connection to a server can be reused."""
+        pool = self._pools.get(server_id)
+        return pool is not None and pool.has_idle_connection()
+
     def dump(self) -> dict[str, Any]:
         """Return the state of all pools by server id, for operators."""
         return {name: pool.dump() for name, pool in self._pools.items()}
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -179,7 +179,9 @@
         for certificates in self._certificates:
             certificates.watch(self._timers)
         if self._settings.look_candidates:
-            self._on_demand_probes.start(self._probe)
+            self._on_demand_probes.start(
+                self._probe, self._upstream.has_idle_connection
+            )
         else:
             self._probes.start(self._probe)
         await self._start_listening()
--- a/src/geraniumbend/routing/_free_slot_finder.py
+++ b/src/geraniumbend/routing/_free_slot_finder.py
@@ -18,6 +18,10 @@
 # Largest random increase of a score, as a fraction of it, when servers are ordered for
 # probing. Without it, all gateways would probe, and then load, the same servers.
 PROBE_ORDER_JITTER = 1.0
+# Factor on the score of a server without an open connection, when servers are ordered
+# for probing. A gateway that gets few requests would otherwise open a connection for
+# nearly every probe, since servers close idle connections after seconds.
+NEW_CONNECTION_FACTOR = 2.0
 # Most sets of servers of one list that are probed one after the other.
 PROBE_ROUNDS = 2
 # Pause before servers are probed again, in seconds; about the time in which one of a
@@ -153,7 +157,7 @@
         if lightly_loaded or not members:
             return bool(lightly_loaded)
         scored = sorted(
-            (_score_for_probe(view, context), index)
+            (self._score_for_probe(view, context), index)
             for index, view in enumerate(members)
         )
         ordered = [members[index] for _, index in scored]
@@ -164,13 +168,21 @@
                 return True
         return False
 
+    def _score_for_probe(self, view: ServerView, context: SelectionContext) -> float:
+        """Return a randomized score, which spreads probes over similar servers.
+
+        A server that has joined recently is not moved back for its missing connection,
+        or it would get no requests while the others are lightly loaded.
+        """
+        jitter = 1 + PROBE_ORDER_JITTER * context.random.random()
+        if view.ramp_weight(
+            context.now
+        ) >= 1 and self._on_demand_probes.needs_connection(view):
+            jitter *= NEW_CONNECTION_FACTOR
+        return score(view, context) * jitter
+
 
 def _list_local(views: list[ServerView], context: SelectionContext) -> list[ServerView]:
     """Return the servers in the gateway's own failure domain."""
     domain = context.failure_domain
     return [view for view in views if view.server.failure_domain == domain]
-
-
-def _score_for_probe(view: ServerView, context: SelectionContext) -> float:
-    """Return a randomized score, which spreads probes over similar servers."""
-    return score(view, context) * (1 + PROBE_ORDER_JITTER * context.random.random())
--- a/src/geraniumbend/routing/_on_demand_probes.py
+++ b/src/geraniumbend/routing/_on_demand_probes.py
@@ -82,13 +82,26 @@
         self._share = share
         self._limit_per_s = limit_per_s
         self._send: Send | None = None
+        self._has_connection: Callable[[str], bool] | None = None
         self._running: dict[str, asyncio.Task[None]] = {}
         self._buckets: dict[str, _TokenBucket] = {}
         self.sent = 0
 
-    def start(self, send: Send) -> None:
-        """Set the function that sends a probe; before, no probes are sent."""
+    def start(
+        self, send: Send, has_connection: Callable[[str], bool] | None = None
+    ) -> None:
+        """Begin to send probes.
+
+        Parameters
+        ----------
+        send : callable
+            Sends a probe to a server; before it is set, no probes are sent.
+        has_connection : callable or None, default=None
+            Tells by server id whether an open connection can be reused. Without it, no
+            server is preferred for its connection.
+        """
         self._send = send
+        self._has_connection = has_connection
 
     def stop(self) -> None:
         """Send no more probes and cancel those in flight."""
@@ -116,6 +129,12 @@
         """Tell whether the last report and own requests since leave a slot free."""
         return view.estimate_in_flight(self._timers.now()) + 1 <= view.slots
 
+    def needs_connection(self, view: ServerView) -> bool:
+        """Tell whether a probe of a server would open a new connection."""
+        return self._has_connection is not None and not self._has_connection(
+            view.server_id
+        )
+
     async def probe_candidates(self, candidates: list[ServerView]) -> bool:
         """Probe some servers until one of them is found lightly loaded.
 
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from geraniumbend.errors import RefusedError
 from geraniumbend.logs import declare_event, log_event
@@ -13,7 +13,7 @@
     policies,
     score,
 )
-from geraniumbend.routing._subsets import SUBSET_SIZE, choose_subset
+from geraniumbend.routing._subsets import choose_subset, count_subset
 from geraniumbend.routing._trial_requests import TrialRequests
 
 if TYPE_CHECKING:
@@ -55,6 +55,11 @@
         ...
 
 
+class _Subset(NamedTuple):
+    members: list[ServerView]
+    views: list[ServerView]
+
+
 class Router:
     """Chooses backend servers and updates their statistics from each response.
 
@@ -102,7 +107,7 @@
         self._failure_domain = failure_domain
         self._random = random.Random(seed)
         self._policies: dict[tuple[str, str], Policy] = {}
-        self._subsets: dict[str, tuple[int, float, frozenset[str]]] = {}
+        self._subsets: dict[str, _Subset] = {}
         self._trial_requests = TrialRequests()
 
     @classmethod
@@ -328,17 +333,17 @@
 
     def _list_subset(self, group: str) -> list[ServerView]:
         members = self._table.available(group)
-        if len(members) <= SUBSET_SIZE:
+        size = count_subset(len(members), self._shares.gateway_share())
+        if size == len(members):
             return members
-        share = self._shares.gateway_share()
         cached = self._subsets.get(group)
-        if cached is None or cached[:2] != (self._table.version, share):
-            subset = choose_subset(
-                self._node, group, members, share, self._failure_domain
+        # The table replaces the list of a group whenever a member changes.
+        if cached is None or cached.members is not members or len(cached.views) != size:
+            views = choose_subset(
+                self._node, group, members, size, self._failure_domain
             )
-            names = frozenset(view.server_id for view in subset)
-            cached = self._subsets[group] = (self._table.version, share, names)
-        return [view for view in members if view.server_id in cached[2]]
+            cached = self._subsets[group] = _Subset(members, views)
+        return cached.views
 
     def _get_policy(self, group: str) -> Policy:
         configuration = self._table.configuration
--- a/src/geraniumbend/routing/_subsets.py
+++ b/src/geraniumbend/routing/_subsets.py
@@ -48,11 +48,31 @@
     )
 
 
+def count_subset(members: int, gateway_share: float) -> int:
+    """Return how many members of a group one gateway uses.
+
+    Parameters
+    ----------
+    members : int
+        Number of members of the group.
+    gateway_share : float
+        One divided by the number of live gateways.
+
+    Returns
+    -------
+    int
+        At least `SUBSET_SIZE`, and enough that almost certainly every server is used by
+        some gateway; at most `members`.
+    """
+    covering = math.ceil(members * min(1.0, COVERAGE * gateway_share))
+    return min(members, max(SUBSET_SIZE, covering))
+
+
 def choose_subset(
     node: str,
     group: str,
     views: list[ServerView],
-    gateway_share: float,
+    size: int,
     failure_domain: str = "",
 ) -> list[ServerView]:
     """Return the servers of a large group that one gateway uses.
@@ -65,24 +85,25 @@
         Name of the group.
     views : list of ServerView
         Members of the group.
-    gateway_share : float
-        One divided by the number of live gateways.
+    size : int
+        Number of servers to return.
     failure_domain : str, default=""
         Failure domain of the gateway; empty if it prefers none.
 
     Returns
     -------
     list of ServerView
-        All members if there are at most `SUBSET_SIZE`. Otherwise a deterministic subset
-        of at least that many, large enough that almost certainly every server is used
-        by some gateway.
+        Deterministic subset, `LOCAL_SHARE` of it from the failure domain if there are
+        so many.
     """
-    if len(views) <= SUBSET_SIZE:
-        return views
-    covering = math.ceil(len(views) * min(1.0, COVERAGE * gateway_share))
-    size = max(SUBSET_SIZE, covering)
     ordered = order_by_rendezvous(f"{node}\0{group}", views)
-    local = [view for view in ordered if view.server.failure_domain == failure_domain]
-    chosen = local[: int(size * LOCAL_SHARE)] if failure_domain else []
-    others = [view for view in ordered if view not in chosen]
+    local_limit = int(size * LOCAL_SHARE) if failure_domain else 0
+    chosen: list[ServerView] = []
+    others: list[ServerView] = []
+    for view in ordered:
+        is_local = view.server.failure_domain == failure_domain
+        if is_local and len(chosen) < local_limit:
+            chosen.append(view)
+        else:
+            others.append(view)
     return chosen + others[: size - len(chosen)]
