Group each server once while servers come and go

Cause: after each change, and four times a second while any server is lost, a gateway asked for the groups of all servers twice, by merging labels and matching all selectors.

Change: the groups of a server are kept until the server or the grouping changes; they are asked for only where servers are lost or held out.

--- a/src/geraniumbend/membership/_eligible_servers.py
+++ b/src/geraniumbend/membership/_eligible_servers.py
@@ -84,6 +84,7 @@
         self._stale: dict[str, float] = {}
         self._flaps: dict[str, _FlapState] = {}
         self._grouping: Grouping = group_by_app
+        self._groups: dict[str, tuple[BackendServer, frozenset[str]]] = {}
         self._callbacks: list[ServersCallback] = []
         self._visible: dict[str, BackendServer] = {}
         self._last_delivered: dict[str, BackendServer] = {}
@@ -97,6 +98,7 @@
     def set_grouping(self, grouping: Grouping) -> None:
         """Set the function from a server to the names of its groups."""
         self._grouping = grouping
+        self._groups.clear()
         self._schedule_update()
 
     def servers(self) -> dict[str, BackendServer]:
@@ -124,6 +126,7 @@
         else:
             self._lost.pop(server_id, None)
             self._stale.pop(server_id, None)
+            self._groups.pop(server_id, None)
             if before is not None:
                 self._count_change(server_id, now)
         self._schedule_update()
@@ -191,25 +194,42 @@
         now = self._timers.now()
         held_out = {s for s, f in self._flaps.items() if f.held_until > now}
         visible = {s: v for s, v in self._live.items() if s not in held_out}
-        populated = {group for v in visible.values() for group in self._grouping(v)}
-        for server_id in held_out & self._live.keys():
-            server = self._live[server_id]
-            if not populated.intersection(self._grouping(server)):
-                visible[server_id] = server
+        if held_out:
+            visible |= self._list_needed(held_out, visible)
         for server_id in self._stale:
             visible[server_id] = self._lost[server_id].server._replace(stale=True)
         self._visible = visible
 
+    def _list_needed(
+        self, held_out: set[str], visible: dict[str, BackendServer]
+    ) -> dict[str, BackendServer]:
+        """Return the held-out servers of groups that have no other server."""
+        populated = {group for v in visible.values() for group in self._find_groups(v)}
+        return {
+            server_id: self._live[server_id]
+            for server_id in held_out & self._live.keys()
+            if populated.isdisjoint(self._find_groups(self._live[server_id]))
+        }
+
+    def _find_groups(self, server: BackendServer) -> frozenset[str]:
+        """Return the groups of a server; the grouping is called once for each."""
+        known = self._groups.get(server.server_id)
+        if known is not None and known[0] is server:
+            return known[1]
+        groups = frozenset(self._grouping(server))
+        self._groups[server.server_id] = (server, groups)
+        return groups
+
     def _detect_mass_loss(self) -> None:
         """Mark expired servers as stale in groups that lost more than half at once."""
         now = self._timers.now()
         if not self._lost:
             return
-        live = Counter(g for v in self._live.values() for g in self._grouping(v))
+        live = Counter(g for v in self._live.values() for g in self._find_groups(v))
         lost: dict[str, list[str]] = {}
         for server_id, loss in self._lost.items():
             if server_id in self._stale or now - loss.at <= loss.lease_s:
-                for group in self._grouping(loss.server):
+                for group in self._find_groups(loss.server):
                     lost.setdefault(group, []).append(server_id)
         stale: set[str] = set()
         for group, ids in lost.items():
@@ -228,4 +248,5 @@
             # Once most of a group has announced again, the others get one more lease.
             if now - self._stale.get(server_id, loss.at) > loss.lease_s:
                 self._stale.pop(server_id, None)
+                self._groups.pop(server_id, None)
                 del self._lost[server_id]
