Compress the records that anti-entropy exchanges

Change: peers that say that they read them get records deflated together, at most 2 MiB; earlier releases get plain records.

--- a/src/geraniumbend/membership/_anti_entropy.py
+++ b/src/geraniumbend/membership/_anti_entropy.py
@@ -6,6 +6,7 @@
 
 from geraniumbend.errors import GeraniumbendError, ProtocolError, UnavailableError
 from geraniumbend.logs import declare_event, log_event
+from geraniumbend.membership._record_batches import pack_batch, unpack_batch
 from geraniumbend.membership._records import (
     BUCKET_COUNT,
     MEMBER,
@@ -168,24 +169,22 @@
         if not wanted and not pushed:
             return False
         self.differences_found += len(wanted) + len(pushed)
-        await self._exchange(address, wanted, pushed[:MAX_PAIRS], suppress_spreading)
+        message = self._build_exchange(
+            pushed[:MAX_PAIRS], bool(response.accepts_packed)
+        )
+        message.wanted = struct.pack(f"!{len(wanted)}Q", *wanted)
+        await self._exchange(address, message, suppress_spreading)
         return not response.complete or len(pushed) > MAX_PAIRS
 
     async def _exchange(
         self,
         address: str,
-        wanted: list[int],
-        pushed: list[Record],
+        message: Any,
         suppress_spreading: bool,
     ) -> None:
-        structs = load_structs("membership")
-        message = structs.ExchangeMessage(
-            records=self._pack(pushed),
-            wanted=struct.pack(f"!{len(wanted)}Q", *wanted),
-        )
         body = await self._call(address, EXCHANGE_METHOD, encode(message))
-        response = decode(structs.ExchangeMessage, body)
-        self._merge_all(address, unpack_records(response.records), suppress_spreading)
+        response = decode(load_structs("membership").ExchangeMessage, body)
+        self._merge_all(address, _read_records(response), suppress_spreading)
 
     def _merge_all(
         self, sender: str, records: list[Record], suppress_spreading: bool
@@ -230,7 +229,10 @@
             sent.append(index)
             pairs.extend(DIGEST_PAIR.pack(k, e.version_hash) for k, e in bucket.items())
         response = structs.DigestResponse(
-            entries=b"".join(pairs), complete=len(sent) == len(buckets), buckets=sent
+            entries=b"".join(pairs),
+            complete=len(sent) == len(buckets),
+            buckets=sent,
+            accepts_packed=True,
         )
         return self._charge_response(encode(response))
 
@@ -241,16 +243,25 @@
         if len(wanted) % 8 or len(wanted) > 64 * MAX_PAIRS:
             raise ProtocolError("exchange message has too many or incomplete hashes")
         self._check_serving()
-        self._merge_all("", unpack_records(message.records), suppress_spreading=False)
+        self._merge_all("", _read_records(message), suppress_spreading=False)
         hashes = struct.unpack(f"!{len(wanted) // 8}Q", wanted)
         entries = [self._table.get_by_hash(key_hash) for key_hash in hashes]
         records = [entry.record for entry in entries if entry is not None]
-        response = structs.ExchangeMessage(records=self._pack(records))
+        response = self._build_exchange(records, bool(message.accepts_packed))
         return self._charge_response(encode(response))
 
-    def _pack(self, records: list[Record]) -> list[Any]:
+    def _build_exchange(self, records: list[Record], is_packed: bool) -> Any:
+        """Return a message with records; packed ones only if the peer reads them."""
         outgoing = [self._outgoing(record) for record in records]
-        return [pack_record(record) for record in outgoing if record is not None]
+        sent = [record for record in outgoing if record is not None]
+        structs = load_structs("membership")
+        if is_packed:
+            return structs.ExchangeMessage(
+                packed_records=pack_batch(sent), accepts_packed=True
+            )
+        return structs.ExchangeMessage(
+            records=[pack_record(record) for record in sent], accepts_packed=True
+        )
 
     def _check_serving(self) -> None:
         # A limit of one second of debt leaves budget for acknowledgements of probes.
@@ -266,6 +277,11 @@
         return body
 
 
+def _read_records(message: Any) -> list[Record]:
+    packed = unpack_batch(message.packed_records) if message.packed_records else []
+    return packed + unpack_records(message.records)
+
+
 def _unpack_pairs(data: bytes) -> dict[int, int]:
     if len(data) % DIGEST_PAIR.size:
         raise ProtocolError("digest response ends with an incomplete pair")
--- a/src/geraniumbend/wire/_specs.py
+++ b/src/geraniumbend/wire/_specs.py
@@ -238,12 +238,32 @@
                 1: (18, "entries", False),
                 2: (2, "complete", False),
                 3: (15, "buckets", 8, False),
+                4: (2, "accepts_packed", False),
             },
-            [("entries", ""), ("complete", True), ("buckets", [])],
+            [
+                ("entries", ""),
+                ("complete", True),
+                ("buckets", []),
+                ("accepts_packed", False),
+            ],
         ),
         "ExchangeMessage": (
-            {1: (15, "records", (12, "RecordDelta"), False), 2: (18, "wanted", False)},
-            [("records", []), ("wanted", "")],
+            {
+                1: (15, "records", (12, "RecordDelta"), False),
+                2: (18, "wanted", False),
+                3: (18, "packed_records", False),
+                4: (2, "accepts_packed", False),
+            },
+            [
+                ("records", []),
+                ("wanted", ""),
+                ("packed_records", ""),
+                ("accepts_packed", False),
+            ],
+        ),
+        "RecordBatch": (
+            {1: (15, "records", (12, "RecordDelta"), False)},
+            [("records", [])],
         ),
     },
     "orders": {
--- a/src/geraniumbend/wire/membership.thrift
+++ b/src/geraniumbend/wire/membership.thrift
@@ -67,10 +67,21 @@
   1: binary entries = ""
   2: bool complete = true
   3: list<i32> buckets = []
+  /** Whether the sender reads packed records. */
+  4: bool accepts_packed = false
 }
 
 /** Records for the receiver, and hashes of the keys whose records it shall return. */
 struct ExchangeMessage {
   1: list<RecordDelta> records = []
   2: binary wanted = ""
+  /** Deflated RecordBatch; in place of the records if the receiver reads it. */
+  3: binary packed_records = ""
+  /** Whether the sender reads packed records. */
+  4: bool accepts_packed = false
+}
+
+/** Records that are compressed together. */
+struct RecordBatch {
+  1: list<RecordDelta> records = []
 }
