Choose no server from records of before a pause

Cause: a gateway that was paused (SIGSTOP, a suspended host) reads the requests that waited in its sockets with the servers that it knew before the pause. Servers may have left meanwhile, and their departure was acknowledged without this gateway, which counted as dead. Recovery after a pause guarded gossip only.

Change: before each choice of a server an attempt checks for a pause and waits for the synchronisation with a peer, at most 0.3 s; without peers the gateway goes on with what it knows. The changes reach the routing table before the wait ends.

--- a/src/geraniumbend/membership/_eligible_servers.py
+++ b/src/geraniumbend/membership/_eligible_servers.py
@@ -181,6 +181,10 @@
 
     def _notify(self) -> None:
         self._scheduled = False
+        self.deliver()
+
+    def deliver(self) -> None:
+        """Call back with all servers if they have changed since the last call."""
         if self._dirty:
             self._rebuild()
         if self._visible != self._last_delivered:
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -44,6 +44,9 @@
 # the whole cluster the other nodes may come back later.
 JOIN_MAX_WAIT_S = 0.4
 MAX_LEAVE_MESSAGES = 30
+# Longest time in seconds that a request waits for the synchronisation after a pause. A
+# gateway that reaches no peer then goes on with the servers that it knows.
+MAX_RECOVERY_WAIT_S = 0.3
 
 declare_event(
     809,
@@ -354,6 +357,16 @@
         """Return the backend servers that may get requests, by server id."""
         return self._eligible_servers.servers()
 
+    async def wait_synchronised(self) -> bool:
+        """Wait until the servers are up to date if this process was paused.
+
+        Returns
+        -------
+        bool
+            False if no peer responded within `MAX_RECOVERY_WAIT_S`.
+        """
+        return await self._pause_recovery.wait_recovered(MAX_RECOVERY_WAIT_S)
+
     def server_records(self) -> list[Record]:
         """Return all backend server records, also expired and deregistered ones."""
         return [entry.record for entry in self._table.entries(SERVER)]
--- a/src/geraniumbend/membership/_pause_recovery.py
+++ b/src/geraniumbend/membership/_pause_recovery.py
@@ -19,6 +19,8 @@
 MIN_PAUSE_S = 2.0
 RECOVERY_TIMEOUT_S = 3.0
 RETRY_DELAY_S = 0.5
+# Interval in seconds at which a request checks whether the recovery has ended.
+RECOVERY_POLL_S = 0.005
 
 declare_event(
     808,
@@ -107,6 +109,25 @@
         self._start_recovery()
         return False
 
+    async def wait_recovered(self, max_wait_s: float) -> bool:
+        """Wait for the end of the recovery if this process was paused.
+
+        Parameters
+        ----------
+        max_wait_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the records are as recent as those of the peers.
+        """
+        self.check_not_paused()
+        end_s = self._timers.now() + max_wait_s
+        while self.recovering and self._timers.now() < end_s:
+            await self._timers.sleep(RECOVERY_POLL_S)
+        return not self.recovering
+
     def _start_recovery(self) -> None:
         self.recovering = True
         self._anti_entropy.serving = False
@@ -121,6 +142,8 @@
             if self._timers.now() >= deadline:
                 break
             await self._timers.sleep(RETRY_DELAY_S)
-        self.recovering = False
         self._server_directory.keep_servers_of_live_holders()
+        # Requests that wait for the recovery choose from the servers delivered here.
+        self._server_directory.deliver_changes()
+        self.recovering = False
         self._anti_entropy.serving = True
--- a/src/geraniumbend/membership/_server_directory.py
+++ b/src/geraniumbend/membership/_server_directory.py
@@ -319,9 +319,9 @@
             if record.state == LIVE and self._has_live_holder(record):
                 entry.deadline = None
 
-    def holds(self, server_id: str) -> bool:
-        """Return whether this node has a lease of the server."""
-        return server_id in self._leases
+    def deliver_changes(self) -> None:
+        """Pass changes on to the subscribers at once, without coalescing them."""
+        self._eligible_servers.deliver()
 
     def count_leases(self) -> int:
         """Return the number of leases on this node."""
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -15,7 +15,7 @@
 from geraniumbend.routing import Outcome
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from geraniumbend.proxying._context import RequestContext
     from geraniumbend.proxying._latencies import HeadLatencies
@@ -58,6 +58,8 @@
         Clock.
     log : RequestLog
         Log of failed, retried and hedged attempts.
+    wait_synchronised : callable or None, default=None
+        Waits until the known servers are up to date after a pause of the process.
     """
 
     def __init__(
@@ -69,7 +71,9 @@
         latencies: HeadLatencies,
         timers: TimerService,
         log: RequestLog,
+        wait_synchronised: Callable[[], Awaitable[object]] | None = None,
     ) -> None:
+        self._wait_synchronised = wait_synchronised
         self._log = log
         self._router = router
         self._budget = budget
@@ -141,18 +145,24 @@
     ) -> bool:
         """Probe servers of the group for their load.
 
+        If the process was paused meanwhile, the servers that it knows may have left, so
+        this returns only after a synchronisation with its peers.
+
         Returns
         -------
         bool
             Whether one of them has a free slot on a lightly loaded host.
         """
-        return await self._router.probe_candidates(
+        found = await self._router.probe_candidates(
             context.group,
             context.rule.request_class,
             context.tried,
             context.deadline_s - self._timers.now(),
             max_wait_s,
         )
+        if self._wait_synchronised is not None:
+            await self._wait_synchronised()
+        return found
 
     def _compute_max_wait(self, context: RequestContext) -> float:
         """Return the longest time to wait for a free slot, in seconds.
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -77,6 +77,9 @@
         Clock.
     dialect : Dialect, default=StandardDialect()
         Names and formats of header fields towards callers and backend servers.
+    wait_synchronised : callable or None, default=None
+        Waits until the known backend servers are up to date after a pause of the
+        process; awaited before each choice of a server.
     """
 
     configuration: ConfigurationPort
@@ -88,6 +91,7 @@
     orders: OrdersPort | None
     timers: TimerService
     dialect: Dialect = StandardDialect()
+    wait_synchronised: Callable[[], Awaitable[object]] | None = None
 
 
 class Proxy:
@@ -133,6 +137,7 @@
             HeadLatencies(),
             parts.timers,
             self._log,
+            parts.wait_synchronised,
         )
         self._order_executor = OrderExecutor(
             self._attempts, parts.orders, parts.timers, node
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -130,6 +130,7 @@
             self._orders if gateway.control else None,
             timers,
             dialect,
+            self._membership.wait_synchronised,
         )
         self._proxy = Proxy.from_config(settings, parts, self._create_observer())
         self._caller_listener = HttpListener.from_config(
--- a/tests/proxying/_data_path.py
+++ b/tests/proxying/_data_path.py
@@ -142,6 +142,7 @@
         self.admission = FakeAdmission()
         self.budget = FakeBudget()
         self.quarantine = FakeQuarantine()
+        self.wait_synchronised = None
 
     async def __aenter__(self):
         timers = LoopTimers()
@@ -161,6 +162,7 @@
             self.orders,
             timers,
             self.dialect,
+            self.wait_synchronised,
         )
         self.proxy = Proxy(parts, node="gateway-0", body_idle_timeout_s=1.0)
         self.listener = HttpListener(
