Bound what peers without a verified signature may send

Cause: anyone who reaches the peer port could exchange nonces, announce a frame of 8 MiB and send it slowly or never: each such connection held up to 8 MiB for ever, and 25 of them end a gateway with 200 MB.

Change: first frames of connections share 16 MiB, and must arrive within 40 s. After the first verified frame a connection may be idle and send long frames as before.

--- a/src/geraniumbend/adapters/_rpc_frames.py
+++ b/src/geraniumbend/adapters/_rpc_frames.py
@@ -2,6 +2,7 @@
 
 import os
 import struct
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from geraniumbend._keys import TAG_BYTES
@@ -9,6 +10,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Iterator
 
     from geraniumbend.keys import KeyRing
 
@@ -21,6 +23,45 @@
 SERVER_TO_CLIENT = b"S"
 
 
+class FrameAllowance:
+    """Bytes of frames that peers without a verified signature may send together.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Most bytes at the same time.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self._reserved_bytes = 0
+
+    @contextmanager
+    def reserve(self, size: int) -> Iterator[None]:
+        """Reserve bytes for the duration of the context.
+
+        Parameters
+        ----------
+        size : int
+            Length of a frame, in bytes.
+
+        Raises
+        ------
+        ProtocolError
+            If the peers together exceed the limit.
+        """
+        if self._reserved_bytes + size > self._limit_bytes:
+            raise ProtocolError(
+                f"peers without a verified signature exceed {self._limit_bytes} bytes",
+                "look for hosts outside the cluster that reach the peer port",
+            )
+        self._reserved_bytes += size
+        try:
+            yield
+        finally:
+            self._reserved_bytes -= size
+
+
 class FrameChannel:
     """Signed frames of RPC messages on one TCP connection.
 
@@ -36,6 +77,8 @@
         Cluster keys.
     is_client : bool
         Whether this end opened the connection.
+    allowance : FrameAllowance or None, default=None
+        Bounds the first frame, whose sender is not known yet; None sets no bound.
     """
 
     def __init__(
@@ -44,6 +87,7 @@
         writer: asyncio.StreamWriter,
         keys: KeyRing,
         is_client: bool,
+        allowance: FrameAllowance | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
@@ -51,6 +95,7 @@
         self._send_direction = CLIENT_TO_SERVER if is_client else SERVER_TO_CLIENT
         self._receive_direction = SERVER_TO_CLIENT if is_client else CLIENT_TO_SERVER
         self._is_client = is_client
+        self._allowance = allowance
         self._session = b""
         self._sent = 0
         self._received = 0
@@ -130,7 +175,7 @@
                 f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}",
                 "check that the sender belongs to this cluster",
             )
-        body = await self._reader.readexactly(length + TAG_BYTES)
+        body = await self._read_body(length + TAG_BYTES)
         payload, tag = body[:length], body[length:]
         self._keys.verify(
             key_number, tag, self._session, self._receive_direction, header, payload
@@ -143,6 +188,12 @@
         self._received += 1
         return payload
 
+    async def _read_body(self, size: int) -> bytes:
+        if self._received or self._allowance is None:
+            return await self._reader.readexactly(size)
+        with self._allowance.reserve(size):
+            return await self._reader.readexactly(size)
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
--- a/src/geraniumbend/adapters/_rpc_server.py
+++ b/src/geraniumbend/adapters/_rpc_server.py
@@ -4,7 +4,11 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from geraniumbend import errors
-from geraniumbend.adapters._rpc_frames import FrameChannel
+from geraniumbend.adapters._rpc_frames import (
+    MAX_FRAME_BYTES,
+    FrameAllowance,
+    FrameChannel,
+)
 from geraniumbend.errors import GeraniumbendError, ProtocolError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.wire import decode, encode, load_structs
@@ -17,6 +21,10 @@
     Handler = Callable[[bytes], Awaitable[bytes]]
 
 HELLO_TIMEOUT_S = 5.0
+# A peer opens a connection to send a call at once. The time suffices for a frame of
+# MAX_FRAME_BYTES over a link of 2 Mbit/s.
+FIRST_FRAME_TIMEOUT_S = 40.0
+UNVERIFIED_LIMIT_BYTES = 2 * MAX_FRAME_BYTES
 MAX_CALLS_PER_CONNECTION = 4096
 
 declare_event(
@@ -64,6 +72,7 @@
         self._connections: set[asyncio.Task[None]] = set()
         self._calls = 0
         self._rejected = 0
+        self._allowance = FrameAllowance(UNVERIFIED_LIMIT_BYTES)
 
     @property
     def counts(self) -> RpcCounts:
@@ -111,11 +120,13 @@
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
-        channel = FrameChannel(reader, writer, self._keys, is_client=False)
+        channel = FrameChannel(reader, writer, self._keys, False, self._allowance)
         try:
             async with asyncio.timeout(HELLO_TIMEOUT_S):
                 await channel.open()
-            await self._serve(channel)
+            async with asyncio.timeout(FIRST_FRAME_TIMEOUT_S):
+                first = await channel.receive()
+            await self._serve(channel, first)
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             pass
         except asyncio.CancelledError:
@@ -129,12 +140,13 @@
             channel.close()
             self._connections.discard(task)
 
-    async def _serve(self, channel: FrameChannel) -> None:
+    async def _serve(self, channel: FrameChannel, frame: bytes) -> None:
+        """Respond to the calls of a connection, beginning with a received frame."""
         structs = load_structs()
         calls: set[asyncio.Task[None]] = set()
         try:
             while True:
-                request = decode(structs.RpcMessage, await channel.receive())
+                request = decode(structs.RpcMessage, frame)
                 if len(calls) >= MAX_CALLS_PER_CONNECTION:
                     raise ProtocolError(
                         "peer has too many open calls", "wait for earlier calls"
@@ -143,6 +155,7 @@
                 call = asyncio.ensure_future(self._respond(channel, request))
                 calls.add(call)
                 call.add_done_callback(calls.discard)
+                frame = await channel.receive()
         finally:
             for call in list(calls):
                 call.cancel()
