Share the capacity of a gateway equally among few callers

In a fleet a gateway has a slot or two of a group and one or two callers, so their ranks were multiplied by 10 to 20, and as soon as the threshold fell to 0.975 since servers were just full, nearly all of their requests were refused instead of one in forty (gateway-1: 81 refusals in 1.2 s at a level of 0.975). Ruled out: the share of the demand (slots were 0.8 to 2.8 as they should) and idle servers (reports of 1.0 to 2.0).

Change: callers of the last two seconds share the slots equally, with a sixteenth as the least part.

The test with one caller and an overload of a twelfth serves 0.525 before, above 0.8 now; a flood beside regular callers is held as before.

--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -25,8 +25,9 @@
 # Reported requests per slot of a group below which a gateway may exceed its share of
 # the slots.
 SPARE_CAPACITY_UTILIZATION = 0.8
-# Share of the capacity that one caller may offer before its requests get a higher
-# rank, and share of the queue that it may hold before its requests are queued last.
+# Share of the capacity that each of many callers may offer before its requests get a
+# higher rank, and share of the queue that a caller may hold before its requests are
+# queued last. Few callers share the capacity equally.
 MAX_CALLER_SHARE = 0.0625
 RETRY_AFTER_S = 2.0
 # Requests of a class that must have been measured before the threshold may refuse
@@ -107,6 +108,7 @@
         self.running = 0
         self.limit = 1
         self.slots = 1.0
+        self.caller_share = 1.0
         self.threshold = AdmissionThreshold()
         self.callers = CallerDemand()
         self.queue = RankedQueue()
@@ -232,7 +234,7 @@
             self._update_limits(pool, now)
         slots = pool.slots
         threshold = pool.threshold.value_for(request.sheet)
-        caller_limit = MAX_CALLER_SHARE * max(slots, 1e-9)
+        caller_limit = pool.caller_share * max(slots, 1e-9)
         offered, counted_s = pool.callers.record(
             request.caller, service_s, caller_limit, now
         )
@@ -257,6 +259,8 @@
     def _update_limits(self, pool: _PoolState, now: float) -> None:
         utilization = self._table.utilization(pool.group)
         pool.slots = self._own_slots(pool, utilization)
+        active = pool.callers.count_active(now)
+        pool.caller_share = max(MAX_CALLER_SHARE, 1 / max(1, active))
         pool.limit = max(1, math.ceil(pool.slots * IN_FLIGHT_FACTOR))
         if 0 < utilization < SPARE_CAPACITY_UTILIZATION:
             # Callers are spread unevenly over gateways, and shares adapt only after
--- a/src/geraniumbend/admission/_demand.py
+++ b/src/geraniumbend/admission/_demand.py
@@ -147,6 +147,11 @@
         state.tokens_s -= counted_s
         return state.rate, counted_s
 
+    def count_active(self, now: float) -> int:
+        """Return the number of callers with a request in the last `CALLER_DECAY_S`."""
+        since = now - CALLER_DECAY_S
+        return sum(state.updated >= since for state in self._callers.values())
+
     def _evict_smallest(self, now: float) -> None:
         def decayed_rate(caller: str) -> float:
             state = self._callers[caller]
