Answer pipelined and first requests when a gateway stops

(2) A connection without bytes counted as idle as soon as it was accepted, so callers of the backlog, whose first request is one network delay away, were reset.

Change: while a gateway drains it starts no further pipelined request, and the response to the last started one ends the connection. A connection that has received nothing is not closed as idle in its first 0.5 s.

--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -28,6 +28,9 @@
 # this time. Otherwise unread bytes would make the kernel reset the connection before
 # the caller has read the refusal.
 LINGER_S = 1.0
+# Time in seconds in which a new connection is not closed as idle, since the first
+# request of its caller may be on its way.
+FIRST_REQUEST_TIMEOUT_S = 0.5
 # Maximum number of pipelined requests of one connection that are handled concurrently
 # with the request before them.
 MAX_PIPELINED = 8
@@ -73,6 +76,8 @@
         self._body: Any = EMPTY_PAYLOAD
         self._lingering = False
         self._pipelined: deque[_PipelinedRequest] = deque()
+        self._opened_at = self._loop.time()
+        self._has_received = False
 
     @property
     def writable(self) -> bool:
@@ -81,6 +86,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes; start the header timeout if a head is incomplete."""
+        self._has_received = True
         super().data_received(data)
         if self._messages:
             if self.busy:
@@ -114,6 +120,9 @@
         waiting = self._messages or self._pipelined
         if self.busy or waiting or self._head_bytes or self.transport is None:
             return False
+        age_s = self._loop.time() - self._opened_at
+        if not self._has_received and age_s < FIRST_REQUEST_TIMEOUT_S:
+            return False
         raw_socket = self.transport.get_extra_info("socket")
         poll = select.poll()
         poll.register(raw_socket.fileno(), select.POLLIN)
@@ -122,6 +131,10 @@
         self.force_close()
         return True
 
+    def has_started_requests(self) -> bool:
+        """Return whether requests behind the open one are handled already."""
+        return bool(self._pipelined)
+
     async def start(self) -> None:
         """Serve the requests of the connection; responses keep their order."""
         try:
@@ -169,8 +182,11 @@
         A caller that pipelines requests would otherwise wait for the sum of their
         durations. Requests that must not run twice wait in the proxy until the earlier
         responses are written: if one of those closes the connection, the caller sends
-        the requests behind it again.
+        the requests behind it again. While the gateway drains, none are started, since
+        the connection ends with the response to the last one that was.
         """
+        if self.server.draining:
+            return
         while self._messages and len(self._pipelined) < MAX_PIPELINED:
             message, payload = self._messages[0]
             if isinstance(message, _ErrInfo) or not payload.is_eof():
--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -90,9 +90,7 @@
             self.body_length = int(length) if length and length.isdecimal() else 0
         self.has_body = message.chunked or bool(self.body_length)
         self._continue_due = self.has_body and "Expect" in message.headers
-        self.keep_alive: bool = not (
-            message.should_close or message.upgrade or protocol.server.draining
-        )
+        self.keep_alive: bool = not (message.should_close or message.upgrade)
 
     def check(self) -> None:
         """Refuse requests that the parser accepts but a gateway must not forward.
@@ -204,8 +202,8 @@
             else:
                 self.keep_alive = False
         self._remaining = 0 if bodiless else length
-        if not self.keep_alive or self._protocol.server.draining:
-            self.keep_alive = False
+        self._end_connection_if_draining()
+        if not self.keep_alive:
             framing += b"Connection: close\r\n"
         elif self._message.version == HttpVersion10:
             framing += b"Connection: keep-alive\r\n"
@@ -257,6 +255,7 @@
         )
         if not self._payload.is_eof():
             self.keep_alive = False
+        self._end_connection_if_draining()
         framing = b"Content-Length: %d\r\n" % len(document)
         if not self.keep_alive:
             framing += b"Connection: close\r\n"
@@ -269,6 +268,16 @@
         self.response_started = True
         self._write(b"".join((start, *lines, framing, b"\r\n", document)))
 
+    def _end_connection_if_draining(self) -> None:
+        """Let this response end the connection if the gateway drains.
+
+        Requests behind this one that are already with a backend server get their
+        responses first; a caller sends those again that have not been started.
+        """
+        protocol = self._protocol
+        if protocol.server.draining and not protocol.has_started_requests():
+            self.keep_alive = False
+
     def abort(self) -> None:
         """Reset the caller's connection so that the response looks truncated."""
         self.keep_alive = False
--- /dev/null
+++ b/tests/proxying/test_planned_stop.py
@@ -0,0 +1,118 @@
+"""Requests at every stage while the gateway's listener stops as after SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+from tests.adapters._scripted_backend import (
+    ScriptedBackend,
+    reply,
+    use_default_loop,
+    use_uvloop,
+)
+from tests.proxying._data_path import DataPath, parse
+
+setUpModule = use_uvloop
+tearDownModule = use_default_loop
+
+LIMIT_S = 1.0
+STEP_S = 0.05
+HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that were accepted and end without an answer."""
+
+    async def stop_between(self, before, after, script=None, path_options=None):
+        """Send bytes before and after the stop begins; return all received bytes."""
+        async with (
+            ScriptedBackend(script or reply(b"ok")) as backend,
+            DataPath(backend, **(path_options or {})) as path,
+        ):
+            reader, writer = await path.connect()
+            writer.write(before)
+            await asyncio.sleep(STEP_S)
+            stopping = asyncio.ensure_future(path.listener.stop(LIMIT_S))
+            await asyncio.sleep(STEP_S)
+            if after:
+                writer.write(after)
+            received = await asyncio.wait_for(reader.read(), 3)
+            writer.close()
+            self.cut_off = await stopping
+            return received, backend.received
+
+    async def test_half_of_a_head_is_completed_and_answered(self):
+        received, _ = await self.stop_between(HEAD[:20], HEAD[20:] + b"body")
+        self.assertEqual((parse(received)[0], self.cut_off), (200, 0))
+
+    async def test_half_of_a_body_is_completed_and_answered(self):
+        received, sent = await self.stop_between(HEAD + b"bo", b"dy")
+        self.assertEqual((parse(received)[0], self.cut_off), (200, 0))
+        self.assertEqual(sent[0].body, b"body")
+
+    async def test_request_at_its_backend_server_is_answered(self):
+        async def script(received, reader, writer):
+            await asyncio.sleep(4 * STEP_S)
+            await reply(b"late")(received, reader, writer)
+
+        received, _ = await self.stop_between(GET % 1, b"", script)
+        status, headers, body = parse(received)
+        self.assertEqual((status, body, self.cut_off), (200, b"late", 0))
+        self.assertEqual(headers["connection"], "close")
+
+    async def test_requests_behind_another_one_are_answered_or_not_sent(self):
+        async def script(received, reader, writer):
+            await asyncio.sleep(3 * STEP_S)
+            path = received.head.split(b" ")[1]
+            await reply(path)(received, reader, writer)
+
+        requests = b"".join(GET % number for number in range(4))
+        received, sent = await self.stop_between(requests, b"", script)
+        answers = received.split(b"HTTP/1.1 ")[1:]
+        self.assertEqual(self.cut_off, 0)
+        self.assertTrue(all(answer.startswith(b"200") for answer in answers))
+        # What was passed on is answered; a caller repeats what follows the close.
+        self.assertEqual(len(answers), len(sent))
+
+    async def test_connections_of_the_backlog_are_served(self):
+        """Guards against a reset of callers whose first request is on its way."""
+        async with (
+            ScriptedBackend(reply(b"ok")) as backend,
+            DataPath(backend) as path,
+        ):
+            # The kernel completes these connections before the gateway accepts them.
+            address = ("127.0.0.1", path.listener.port)
+            sockets = [socket.create_connection(address) for _ in range(20)]
+            stopping = asyncio.ensure_future(path.listener.stop(LIMIT_S))
+            await asyncio.sleep(2 * STEP_S)
+            for raw in sockets:
+                reader, writer = await asyncio.open_connection(sock=raw)
+                writer.write(GET % 1)
+                answer = await asyncio.wait_for(reader.read(), 3)
+                self.assertEqual(parse(answer)[0], 200)
+                writer.close()
+            self.assertEqual(await stopping, 0)
+
+    async def test_request_that_waits_for_admission_is_answered(self):
+        async with (
+            ScriptedBackend(reply(b"ok")) as backend,
+            DataPath(backend) as path,
+        ):
+            admit = path.admission.admit
+            granted = asyncio.Event()
+
+            async def wait(request):
+                await granted.wait()
+                return await admit(request)
+
+            path.admission.admit = wait
+            asking = asyncio.ensure_future(path.get())
+            await asyncio.sleep(STEP_S)
+            stopping = asyncio.ensure_future(path.listener.stop(LIMIT_S))
+            await asyncio.sleep(STEP_S)
+            granted.set()
+            self.assertEqual((await asking)[0], 200)
+            self.assertEqual(await stopping, 0)
