Log the inputs of a refusal by admission

Change: a refusal carries its inputs and their age; they are logged and not sent to callers. The order of probes reads in two steps.

--- a/src/geraniumbend/_errors.py
+++ b/src/geraniumbend/_errors.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
-from typing import ClassVar, Literal
+from typing import TYPE_CHECKING, ClassVar, Literal
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 RunState = Literal["not_run", "unknown"]
 
@@ -137,6 +140,8 @@
         Last part of the problem type URI (RFC 9457).
     retry_after_s : float or None, default=None
         Delay for the ``Retry-After`` header, in seconds.
+    inputs : mapping of str to float or None, default=None
+        Values that decided the refusal, for the log only; callers do not see them.
     """
 
     exit_code = 10
@@ -150,8 +155,10 @@
         status: int = 503,
         kind: str = "overloaded",
         retry_after_s: float | None = None,
+        inputs: Mapping[str, float] | None = None,
     ) -> None:
         super().__init__(message, remedy)
+        self.inputs = inputs or {}
         self.run = run
         self.status = status
         self.kind = kind
--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -30,6 +30,8 @@
 # queued last. Few callers share the capacity equally.
 MAX_CALLER_SHARE = 0.0625
 RETRY_AFTER_S = 2.0
+# The level is infinite while there is no demand, which JSON cannot express.
+MAX_LOGGED_LEVEL = 1000.0
 # Requests of a class that must have been measured before the threshold may refuse
 # requests of that class.
 MIN_COST_SAMPLES = 10
@@ -109,6 +111,9 @@
         self.limit = 1
         self.slots = 1.0
         self.caller_share = 1.0
+        self.share = 0.0
+        self.utilization = 0.0
+        self.updated_at = 0.0
         self.threshold = AdmissionThreshold()
         self.callers = CallerDemand()
         self.queue = RankedQueue()
@@ -116,6 +121,17 @@
         self.refused = 0
         self.admitted = 0
 
+    def list_inputs(self, now: float) -> dict[str, float]:
+        """Return what the limits were computed from, for the log of a refusal."""
+        return {
+            "share": round(self.share, 4),
+            "caller_share": round(self.caller_share, 4),
+            "slots": round(self.slots, 2),
+            "level": round(min(self.threshold.value_for(""), MAX_LOGGED_LEVEL), 3),
+            "utilization": round(self.utilization, 3),
+            "inputs_age_s": round(now - self.updated_at, 3),
+        }
+
 
 class Admission:
     """Admits requests up to the capacity of their group.
@@ -258,6 +274,8 @@
 
     def _update_limits(self, pool: _PoolState, now: float) -> None:
         utilization = self._table.utilization(pool.group)
+        pool.utilization = utilization
+        pool.updated_at = now
         pool.slots = self._own_slots(pool, utilization)
         active = pool.callers.count_active(now)
         pool.caller_share = max(MAX_CALLER_SHARE, 1 / max(1, active))
@@ -294,6 +312,7 @@
         share = self._shares.demand_share(pool.group)
         if utilization < SPARE_CAPACITY_UTILIZATION:
             share = max(share, self._shares.gateway_share())
+        pool.share = share
         pools = self._table.pools.pools(pool.group)
         if not pool.long:
             slots = sum(view.slots for view in pools.short)
@@ -381,4 +400,5 @@
             f"request to group {pool.group!r} refused: {cause}",
             "retry after the stated delay",
             retry_after_s=retry_after_s,
+            inputs=pool.list_inputs(self._timers.now()),
         )
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -350,6 +350,7 @@
             servers=sorted(context.tried),
             left_ms=round((context.deadline_s - now) * 1000),
             revision=self._parts.configuration.current.revision,
+            **error.inputs,
         )
         return error
 
--- a/src/geraniumbend/routing/_free_slot_finder.py
+++ b/src/geraniumbend/routing/_free_slot_finder.py
@@ -174,12 +174,11 @@
         A server that has joined recently is not moved back for its missing connection,
         or it would get no requests while the others are lightly loaded.
         """
-        jitter = 1 + PROBE_ORDER_JITTER * context.random.random()
-        if view.ramp_weight(
-            context.now
-        ) >= 1 and self._on_demand_probes.needs_connection(view):
-            jitter *= NEW_CONNECTION_FACTOR
-        return score(view, context) * jitter
+        factor = 1 + PROBE_ORDER_JITTER * context.random.random()
+        has_joined_recently = view.ramp_weight(context.now) < 1
+        if not has_joined_recently and self._on_demand_probes.needs_connection(view):
+            factor *= NEW_CONNECTION_FACTOR
+        return score(view, context) * factor
 
 
 def _list_local(views: list[ServerView], context: SelectionContext) -> list[ServerView]:
--- a/tests/admission/test_single_caller.py
+++ b/tests/admission/test_single_caller.py
@@ -51,6 +51,16 @@
         served = await self.play(["one"], in_flight=SLOTS + 0.5, steps=40)
         self.assertGreater(served["one"], 0.8)
 
+    async def test_refusal_tells_the_inputs_of_its_decision(self):
+        """Guards against refusals that the log does not explain."""
+        await self.play(["one"], in_flight=2 * SLOTS, steps=60)
+        refused = [t.result() for t in self.tasks if isinstance(t.result(), Exception)]
+        inputs = refused[-1].inputs
+        self.assertAlmostEqual(inputs["share"], 1 / GATEWAYS, 3)
+        self.assertEqual((inputs["caller_share"], inputs["utilization"]), (1.0, 2.0))
+        self.assertLess(inputs["level"], 1)
+        self.assertLessEqual(inputs["inputs_age_s"], 0.1)
+
     async def test_two_callers_have_the_same_share(self):
         served = await self.play(["one", "two"], in_flight=SLOTS + 0.5, steps=40)
         self.assertGreater(min(served.values()), 0.7)
