Compress the configuration that gateways poll

Change: a response is deflated if the subscriber reads that, and subscribers of one revision share its encoding.

--- a/src/geraniumbend/configuration/_follower.py
+++ b/src/geraniumbend/configuration/_follower.py
@@ -14,7 +14,7 @@
 )
 from geraniumbend.errors import GeraniumbendError, UnavailableError
 from geraniumbend.logs import declare_event, log_event
-from geraniumbend.wire import decode, encode, load_structs
+from geraniumbend.wire import decode, decompress, encode, load_structs
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -29,6 +29,8 @@
 POLL_WAIT_S = 0.7
 POLL_WAIT_JITTER_S = 0.2
 RESPONSE_MARGIN_S = 0.4
+# Longest decompressed response in bytes.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 CONFIRM_MARGIN_S = 1.2
 PROBE_PERIOD_S = 2.0
 PROBE_TIMEOUT_S = 0.4
@@ -267,11 +269,16 @@
             known_revision=self._view.current.revision,
             wait_ms=int(wait_s * 1000),
             confirm=not self.confirmed,
+            accepts_packed=True,
         )
         body = await self._clients.call(
             host, "configuration.poll", encode(request), timeout_s
         )
-        return decode(structs.PollResponse, body)
+        response = decode(structs.PollResponse, body)
+        if response.packed:
+            content = decompress(response.packed, MAX_RESPONSE_BYTES)
+            response = decode(structs.PollResponse, content)
+        return response
 
     def _apply_response(self, response: Any, host: str) -> None:
         current = self._view.current
--- a/src/geraniumbend/configuration/_subscriptions.py
+++ b/src/geraniumbend/configuration/_subscriptions.py
@@ -7,7 +7,7 @@
 from geraniumbend.configuration._notifier import Notifier
 from geraniumbend.configuration._operations import describe_configuration
 from geraniumbend.errors import UnavailableError
-from geraniumbend.wire import decode, encode, load_structs
+from geraniumbend.wire import compress, decode, encode, load_structs
 
 if TYPE_CHECKING:
     from geraniumbend.adapters.rpc import RpcServer
@@ -47,6 +47,7 @@
         self._timers = timers
         self._notifier = Notifier(timers)
         self._majority_contact_at: float | None = None
+        self._encoded: tuple[tuple[int, int, bool], bytes] | None = None
         self._initial_check: Subscription | None = None
         self._periodic_check: Subscription | None = None
         store.subscribe(self._notifier.notify)
@@ -125,7 +126,26 @@
         if request.confirm:
             await self._catch_up(await self._relay.confirm(CATCH_UP_TIMEOUT_S))
         await self.wait_for_change(request.known_revision, request.wait_ms / 1000)
-        return encode(self._build_response(request.known_revision))
+        return self._encode_response(
+            request.known_revision, bool(request.accepts_packed)
+        )
+
+    def _encode_response(self, known_revision: int, is_packed: bool) -> bytes:
+        """Return an encoded response; subscribers of one revision share it.
+
+        Compressed, many new rules fit a thin link in the time that a subscriber waits.
+        Otherwise it would ask again, and the second response would fill the link too.
+        """
+        key = (known_revision, self._store.current.revision, is_packed)
+        if self._encoded is None or self._encoded[0] != key:
+            content = encode(self._build_response(known_revision))
+            if is_packed:
+                response = load_structs("configuration").PollResponse(
+                    revision=key[1], packed=compress(content)
+                )
+                content = encode(response)
+            self._encoded = (key, content)
+        return self._encoded[1]
 
     async def _catch_up(self, revision: int) -> None:
         """Wait until the local replica has applied a revision."""
--- a/src/geraniumbend/wire/_specs.py
+++ b/src/geraniumbend/wire/_specs.py
@@ -100,8 +100,15 @@
                 2: (10, "known_revision", False),
                 3: (8, "wait_ms", False),
                 4: (2, "confirm", False),
+                5: (2, "accepts_packed", False),
             },
-            [("node", ""), ("known_revision", 0), ("wait_ms", 0), ("confirm", False)],
+            [
+                ("node", ""),
+                ("known_revision", 0),
+                ("wait_ms", 0),
+                ("confirm", False),
+                ("accepts_packed", False),
+            ],
         ),
         "AcceptedChange": (
             {1: (10, "revision", False), 2: (18, "operations", False)},
@@ -113,8 +120,15 @@
                 2: (15, "changes", (12, "AcceptedChange"), False),
                 3: (2, "complete", False),
                 4: (18, "document", False),
+                5: (18, "packed", False),
             },
-            [("revision", 0), ("changes", []), ("complete", False), ("document", "")],
+            [
+                ("revision", 0),
+                ("changes", []),
+                ("complete", False),
+                ("document", ""),
+                ("packed", ""),
+            ],
         ),
         "ConfirmedRevision": (
             {1: (10, "revision", False), 2: (10, "index", False)},
--- a/src/geraniumbend/wire/configuration.thrift
+++ b/src/geraniumbend/wire/configuration.thrift
@@ -64,6 +64,8 @@
   2: i64 known_revision = 0
   3: i32 wait_ms = 0
   4: bool confirm = false
+  /** Whether the sender reads packed responses. */
+  5: bool accepts_packed = false
 }
 
 /** One accepted change, operations as JSON. */
@@ -78,6 +80,8 @@
   2: list<AcceptedChange> changes = []
   3: bool complete = false
   4: binary document = ""
+  /** Deflated PollResponse in place of the other fields, if the receiver reads it. */
+  5: binary packed = ""
 }
 
 /** Current revision, confirmed by a read barrier at the leader. */
