Tell why a log has no leader, and stop the flood of lines of a failed disk

When the configuration could not be read back, no line told which voters were missing and why, and the line of a failed write had been pushed out of the log by event 100, four a second. Event 509 names the missing votes at most once a second, the 503 of a read names them too, 821 tells that files are stored again, 820 is written once, and the gauge log_disk_failed counts the replicas that take no part. The periodic check of the majority takes a failed disk as no contact.

No decision changes.

--- a/src/geraniumbend/configuration/_subscriptions.py
+++ b/src/geraniumbend/configuration/_subscriptions.py
@@ -6,7 +6,7 @@
 
 from geraniumbend.configuration._notifier import Notifier
 from geraniumbend.configuration._operations import describe_configuration
-from geraniumbend.errors import UnavailableError
+from geraniumbend.errors import StorageError, UnavailableError
 from geraniumbend.wire import compress, decode, encode, load_structs
 
 if TYPE_CHECKING:
@@ -84,7 +84,7 @@
         checked_at = self._timers.now()
         try:
             revision = await self._relay.confirm(CHECK_TIMEOUT_S)
-        except UnavailableError:
+        except (StorageError, UnavailableError):
             revision = None
         if revision is not None and self._store.current.revision >= revision:
             self._majority_contact_at = checked_at
--- a/src/geraniumbend/membership/_server_records_file.py
+++ b/src/geraniumbend/membership/_server_records_file.py
@@ -34,6 +34,12 @@
     "The file of backend server records cannot be read or written; check the data "
     "folder.",
 )
+declare_event(
+    821,
+    "directory_stored_again",
+    "info",
+    "The file of backend server records is written again after failures.",
+)
 
 
 class ServerRecordsFile:
@@ -64,6 +70,7 @@
         self._timers = timers
         self._stored: list[Record] = []
         self._write_task: asyncio.Task[None] | None = None
+        self._failed_writes = 0
         self._subscription: Subscription | None = None
 
     def start(self) -> None:
@@ -109,7 +116,13 @@
             await asyncio.to_thread(self._replace_file, msgspec.msgpack.encode(records))
         except OSError as error:
             self._stored = []
-            log_event(820, path=str(self._path), error=str(error))
+            self._failed_writes += 1
+            if self._failed_writes == 1:
+                log_event(820, path=str(self._path), error=str(error))
+        else:
+            if self._failed_writes:
+                log_event(821, path=str(self._path), failed_writes=self._failed_writes)
+            self._failed_writes = 0
 
     def _replace_file(self, body: bytes) -> None:
         draft = self._path.with_suffix(".draft")
--- a/src/geraniumbend/replication/_core.py
+++ b/src/geraniumbend/replication/_core.py
@@ -108,6 +108,8 @@
         self.min_durable_copies = 1
         self.failure: StorageError | None = None
         self.is_installing = False
+        # Why each voter denied its vote in the last campaign without a majority.
+        self.missing_votes: dict[str, str] = {}
         # Time of the last message of a leader. A voter grants no vote within an
         # election timeout after it, which the leader lease relies on. A restarted
         # replica has lost that time, so its start counts as contact.
@@ -241,10 +243,17 @@
 
     def not_leader_error(self) -> NotLeaderError:
         """Return the error that names the leader."""
+        if self.leader_address:
+            return NotLeaderError(
+                f"{self.node} does not lead log {self.shard}",
+                f"ask {self.leader_address}",
+                self.leader_address,
+            )
+        reasons = [f"{name}: {why}" for name, why in sorted(self.missing_votes.items())]
+        waits_for = f", it lacks votes ({', '.join(reasons)})" if reasons else ""
         return NotLeaderError(
-            f"{self.node} does not lead log {self.shard}",
-            f"ask {self.leader_address}" if self.leader_address else "try again",
-            self.leader_address,
+            f"log {self.shard} has no leader known to {self.node}{waits_for}",
+            "try again, and check the control hosts whose votes are missing",
         )
 
     def append(self, entry: Entry) -> None:
--- a/src/geraniumbend/replication/_elections.py
+++ b/src/geraniumbend/replication/_elections.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from geraniumbend.errors import GeraniumbendError
+from geraniumbend.logs import log_event
 from geraniumbend.replication._messages import build_request, call_peer, cancel_tasks
 from geraniumbend.wire import load_structs
 
@@ -28,18 +29,21 @@
 RESTART_VOTE_WAIT_TIMEOUTS = 0.4
 # Time after the start in which a replica counts as restarted, in election timeouts.
 RESTART_PHASE_TIMEOUTS = 20.0
+# Shortest time between two reports of missing votes, in seconds.
+REPORT_PERIOD_S = 1.0
 
 
 class _Vote(NamedTuple):
     """Response of a voter: whether it grants a vote, and the number of its process.
 
     The number is 0 if the voter leads, follows a leader or would not vote for the
-    candidate for other reasons than its restart.
+    candidate for other reasons than its restart. `reason` tells why there is no vote.
     """
 
     name: str
     granted: bool = False
     idle_session: int = 0
+    reason: str = ""
 
 
 class Elections:
@@ -67,6 +71,7 @@
         self._core = core
         self._on_elected = on_elected
         self._is_campaigning = False
+        self._reported_at = float("-inf")
 
     async def run(self) -> None:
         """Start a campaign after each election timeout without a leader's message."""
@@ -202,6 +207,7 @@
             for member in others
         ]
         waiting = set(tasks)
+        missing: dict[str, str] = {}
         try:
             while waiting and votes < members.majority():
                 done, waiting = await asyncio.wait(
@@ -210,13 +216,26 @@
                 for task in done:
                     response = task.result()
                     votes += response.granted
+                    if not response.granted:
+                        missing[response.name] = response.reason
                     if response.idle_session:
                         sessions[response.name] = response.idle_session
         finally:
             await cancel_tasks(tasks)
         if votes >= members.majority():
             return {}
-        return sessions if len(sessions) == len(others) else None
+        if len(sessions) == len(others):
+            return sessions
+        self._report_missing_votes(missing)
+        return None
+
+    def _report_missing_votes(self, missing: dict[str, str]) -> None:
+        core = self._core
+        core.missing_votes = missing
+        now = core.timers.now()
+        if now - self._reported_at >= REPORT_PERIOD_S:
+            self._reported_at = now
+            log_event(509, shard=core.shard, term=core.term, missing=missing)
 
     async def _collect_votes(
         self, term: int, is_transfer: bool, sessions: Mapping[str, int]
@@ -277,11 +296,13 @@
                 self._choose_vote_timeout(),
             )
             await core.observe_term(response.term)
-        except GeraniumbendError:
-            return _Vote(member.name)
+        except GeraniumbendError as error:
+            return _Vote(member.name, reason=error.message)
         if response.incarnation != member.incarnation:
-            return _Vote(member.name)
-        return _Vote(member.name, bool(response.granted), response.idle_session or 0)
+            return _Vote(member.name, reason="has lost its log")
+        granted = bool(response.granted)
+        reason = "" if granted else "denies its vote"
+        return _Vote(member.name, granted, response.idle_session or 0, reason)
 
     def _choose_vote_timeout(self) -> float:
         """Return the timeout of a vote request in seconds."""
--- a/src/geraniumbend/replication/_events.py
+++ b/src/geraniumbend/replication/_events.py
@@ -23,3 +23,9 @@
     507, "snapshot_installed", "info", "A snapshot of the leader replaced the log."
 )
 declare_event(508, "log_formed", "info", "All first voters are empty; the log starts.")
+declare_event(
+    509,
+    "votes_missing",
+    "warning",
+    "No majority votes for this replica; missing tells why each voter does not.",
+)
--- a/src/geraniumbend/replication/_replica.py
+++ b/src/geraniumbend/replication/_replica.py
@@ -264,6 +264,11 @@
         """Return whether this replica is the leader and holds the leader lease."""
         return self._leading.has_lease()
 
+    @property
+    def disk_failed(self) -> bool:
+        """Return whether the replica takes no part because a disk write failed."""
+        return self._core.failure is not None
+
     @property
     def leader_address(self) -> str:
         """Return the peer address of the known leader, empty if unknown."""
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -222,6 +222,13 @@
             lambda: by_log(lambda log: float(log.commit_index)),
             ("log",),
         )
+        metrics.declare_gauge(
+            "log_disk_failed",
+            "1 while this host takes no part in the log because its disk refused a "
+            "write, otherwise 0.",
+            lambda: by_log(lambda log: float(log.disk_failed)),
+            ("log",),
+        )
         metrics.declare_gauge(
             "log_members",
             "Number of members of the log.",
