--- a/tests/replication/fakes.py
+++ b/tests/replication/fakes.py
@@ -16,7 +16,8 @@
 class MemoryDisk:
     """Files in memory; a crash may lose what was not synced.
 
-    `steps` counts file operations; from number `fail_at` on each one fails.
+    `steps` counts file operations; from number `fail_at` on each one fails. While
+    `is_full`, what adds bytes fails, and a part of the bytes may have been written.
     """
 
     def __init__(self):
@@ -25,6 +26,7 @@
         self.steps = 0
         self.fail_at = None
         self.sync_fails = False
+        self.is_full = False
         self._lock = asyncio.Lock()
 
     async def run(self, task):
@@ -81,11 +83,13 @@
 
     def append(self, path, data):
         self._step()
-        self.names.setdefault(path, _File()).content += data
+        self.names.setdefault(path, _File()).content += self._fit(data)
+        self._check_space()
 
     def write(self, path, data):
         self._step()
-        self.names.setdefault(path, _File()).content = data
+        self.names.setdefault(path, _File()).content = self._fit(data)
+        self._check_space()
 
     def truncate(self, path, size):
         self._step()
@@ -115,6 +119,13 @@
                 else:
                     del self.durable_names[path]
 
+    def _fit(self, data):
+        return data[: len(data) // 2] if self.is_full else data
+
+    def _check_space(self):
+        if self.is_full:
+            raise OSError(28, "No space left on device")
+
     def _get(self, path):
         if path not in self.names:
             raise FileNotFoundError(path)
