Let a replica take part again once its disk takes writes again

Cause: a failed write ended a replica's part in the log until its process was restarted, and nobody restarts a process that runs.

Change: after a failed write the replica tries twice a second to complete its files from memory. It trusts only what a sync has covered: the newest segment is cut off there, the entries behind it go to a new segment, the vote file is written anew. Operations queued behind the failed one no longer run; an append to a segment whose creation had failed left a file without a header, which counts as damaged.

Two tests said that a failed sync ends acknowledgements for good. They are replaced: the fake disk now drops the bytes of a failed sync, as a kernel may, and the tests ask that nothing acknowledged is missing after a restart, that nothing is acknowledged while the disk fails, and that it is afterwards.

--- a/src/geraniumbend/replication/_core.py
+++ b/src/geraniumbend/replication/_core.py
@@ -31,6 +31,8 @@
 # The log is compacted after this many applied entries or bytes of entry data.
 COMPACT_ENTRIES = 1_000
 COMPACT_BYTES = 4 * 1024 * 1024
+# Period in seconds between attempts to write to a disk that has refused a write.
+DISK_RETRY_S = 0.5
 # Entries that compaction keeps in memory although the snapshot covers them, so that
 # a follower that lags by less gets entries instead of the whole snapshot.
 TRAILING_ENTRIES = 500
@@ -128,6 +130,9 @@
         self.on_written = _ignore
         self._compaction: asyncio.Task[None] | None = None
         self._cluster_id_save: asyncio.Task[None] | None = None
+        self._disk_recovery: asyncio.Task[None] | None = None
+        # Whether the files are loaded, so that memory holds what a repair writes.
+        self.is_loaded = False
 
     @property
     def term(self) -> int:
@@ -234,10 +239,12 @@
         self.on_step_down()
 
     def fail(self, error: StorageError) -> None:
-        """Stop acknowledging, voting and leading for good after a failed write."""
+        """Stop acknowledging, voting and leading until the disk takes writes again."""
         if self.failure is None:
             self.failure = error
             log_event(502, shard=self.shard, error=str(error))
+            if self.is_loaded:
+                self._disk_recovery = asyncio.ensure_future(self._recover_disk())
         self.step_down()
         self._release_applied_waiters()
 
@@ -344,6 +351,9 @@
 
     async def stop(self) -> None:
         """Fail pending proposals and reads and wait for running writes."""
+        self.is_loaded = False
+        if self._disk_recovery is not None:
+            self._disk_recovery.cancel()
         self.step_down()
         waiters, self._applied_waiters = self._applied_waiters, []
         for _, future in waiters:
@@ -351,7 +361,7 @@
                 future.set_exception(
                     UnavailableError(f"{self.node} stops", "try another control host")
                 )
-        background = [self._compaction, self._cluster_id_save]
+        background = [self._compaction, self._cluster_id_save, self._disk_recovery]
         running = [task for task in background if task is not None]
         await asyncio.gather(*running, return_exceptions=True)
         await self.storage.close()
@@ -430,6 +440,23 @@
         self.log.discard(snapshot.index - TRAILING_ENTRIES)
         log_event(506, shard=self.shard, index=snapshot.index)
 
+    async def _recover_disk(self) -> None:
+        """Take part again once the disk takes writes again."""
+        failed_at = self.timers.now()
+        attempts = 0
+        while self.failure is not None:
+            await self.timers.sleep(DISK_RETRY_S)
+            attempts += 1
+            with suppress(OSError):
+                self.saved_vote_state = await self.storage.recover(
+                    lambda: self.log.list_unwritten(self.storage.last_written),
+                    lambda: self.vote_state,
+                )
+                self.failure = None
+        self.timeout_start = self.timers.now()
+        seconds = round(self.timeout_start - failed_at, 3)
+        log_event(510, shard=self.shard, attempts=attempts, seconds=seconds)
+
     async def _write_vote_state(self) -> None:
         # A failed write is recorded in `failure`.
         with suppress(StorageError):
--- a/src/geraniumbend/replication/_elections.py
+++ b/src/geraniumbend/replication/_elections.py
@@ -76,7 +76,7 @@
     async def run(self) -> None:
         """Start a campaign after each election timeout without a leader's message."""
         core = self._core
-        while core.failure is None:
+        while True:
             start = core.timeout_start
             deadline = start + self._draw_election_timeout()
             while core.timeout_start == start and core.timers.now() < deadline:
--- a/src/geraniumbend/replication/_entries.py
+++ b/src/geraniumbend/replication/_entries.py
@@ -115,6 +115,11 @@
             index -= 1
         return index
 
+    def list_unwritten(self, last_written: int) -> list[Entry]:
+        """Return the entries that disk write `last_written` does not cover."""
+        start = self.durable_index(last_written) - self.base_index
+        return self._entries[start:]
+
     def truncate(self, index: int) -> None:
         """Drop the entries from an index on."""
         del self._entries[index - self.base_index - 1 :]
--- a/src/geraniumbend/replication/_events.py
+++ b/src/geraniumbend/replication/_events.py
@@ -5,7 +5,10 @@
 declare_event(500, "replica_leads", "info", "This replica became leader of a log.")
 declare_event(501, "replica_follows", "info", "This replica stopped leading a log.")
 declare_event(
-    502, "replica_failed", "error", "A disk write failed; check the disk and restart."
+    502,
+    "replica_failed",
+    "error",
+    "A disk write failed; the replica takes no part until the disk takes writes again.",
 )
 declare_event(
     503,
@@ -29,3 +32,6 @@
     "warning",
     "No majority votes for this replica; missing tells why each voter does not.",
 )
+declare_event(
+    510, "replica_recovered", "info", "The disk takes writes again after a failed one."
+)
--- a/src/geraniumbend/replication/_files.py
+++ b/src/geraniumbend/replication/_files.py
@@ -128,12 +128,23 @@
 
 
 class Segment:
-    """Segment file of the log: name, size in bytes and highest index in it."""
+    """Segment file of the log.
+
+    Attributes
+    ----------
+    size : int
+        Size in bytes with the writes that have not ended.
+    synced_bytes : int
+        Size in bytes that is durable, 0 if the file may not exist.
+    last_index : int
+        Highest index in it.
+    """
 
     def __init__(self, number: int) -> None:
         self.name = f"log-{number:016d}.seg"
         self.number = number
         self.size = 0
+        self.synced_bytes = 0
         self.last_index = 0
 
 
@@ -198,7 +209,7 @@
             disk.truncate(path, scan.valid_bytes)
             disk.sync(path)
         found = [decode_entry(payload) for payload in scan.payloads]
-        segment.size = scan.valid_bytes
+        segment.size = segment.synced_bytes = scan.valid_bytes
         segment.last_index = max((entry.index for entry in found), default=0)
         segments.append(segment)
         entries.extend(found)
--- a/src/geraniumbend/replication/_storage.py
+++ b/src/geraniumbend/replication/_storage.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from functools import partial
 from itertools import takewhile
 from typing import TYPE_CHECKING, Any
@@ -24,6 +25,7 @@
     file_header,
     pack_record,
 )
+from geraniumbend.replication._repair import repair_folder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,6 +69,9 @@
         self._on_written = on_written
         self._on_failure = on_failure
         self._failure: StorageError | None = None
+        # Set in the disk's thread right after a failed operation, before the event loop
+        # hears of it, so that operations queued behind it do not run.
+        self._is_broken = False
         self._segments: list[Segment] = []
         self._pending: list[Entry] = []
         self._last_queued = 0
@@ -106,7 +111,7 @@
             replace_file(self._disk, self._folder, "vote", pack_vote_state(vote_state))
 
         await self._run(write)
-        segment.size = HEADER.size
+        segment.size = segment.synced_bytes = HEADER.size
         self._segments = [segment]
 
     async def save_vote_state(
@@ -128,8 +133,7 @@
         """Queue an entry for the next write and return the number of that write."""
         self._last_queued += 1
         self._pending.append(entry)
-        if self._writer is None or self._writer.done():
-            self._writer = asyncio.ensure_future(self._write_pending())
+        self._start_writer()
         return self._last_queued
 
     async def wait_written(self, number: int) -> None:
@@ -180,6 +184,7 @@
                 )
             )
             await self._run(partial(self._write_snapshot, name, data, segment, covered))
+            segment.synced_bytes = max(segment.synced_bytes, HEADER.size)
             self._segments = [kept for kept in self._segments if kept not in covered]
 
     async def read_snapshot(self) -> Snapshot | None:
@@ -208,6 +213,55 @@
         self._segments = []
         await self._run(move)
 
+    async def recover(
+        self,
+        read_unwritten: Callable[[], list[Entry]],
+        read_vote_state: Callable[[], VoteState],
+    ) -> VoteState:
+        """Make the files complete again after a failed write, and accept writes again.
+
+        Bytes that no sync has covered are cut off and their entries are written anew:
+        a later sync that succeeds would not prove that they are durable.
+
+        Parameters
+        ----------
+        read_unwritten : callable
+            Returns the entries in memory that `last_written` does not cover.
+        read_vote_state : callable
+            Returns the vote state.
+
+        Returns
+        -------
+        VoteState
+            Vote state that was written.
+
+        Raises
+        ------
+        OSError
+            If the disk still refuses writes.
+        """
+        await self.close()
+        async with self._vote_lock, self._snapshot_lock:
+            number = self._last_queued
+            entries, vote_state = read_unwritten(), read_vote_state()
+            self._pending.clear()
+            self._segments = await self._disk.run(
+                partial(
+                    repair_folder,
+                    self._disk,
+                    self._folder,
+                    self._segments,
+                    entries,
+                    vote_state,
+                )
+            )
+            self.last_written = number
+            self._is_broken = False
+            self._failure = None
+        if self._pending:
+            self._start_writer()
+        return vote_state
+
     async def close(self) -> None:
         """Wait until the running write has ended."""
         if self._writer is not None:
@@ -217,21 +271,34 @@
         """Return the size of all segments in bytes."""
         return sum(segment.size for segment in self._segments)
 
+    def _start_writer(self) -> None:
+        if self._writer is None or self._writer.done():
+            self._writer = asyncio.ensure_future(self._write_pending())
+
     async def _run(self, task: Callable[[], Any]) -> Any:
         if self._failure is not None:
             raise self._failure
         try:
-            return await self._disk.run(task)
+            return await self._disk.run(partial(self._run_unless_broken, task))
         except OSError as error:
             raise self._fail(error) from error
 
+    def _run_unless_broken(self, task: Callable[[], Any]) -> Any:
+        if self._is_broken:
+            raise OSError(errno.EIO, "an earlier write failed")
+        try:
+            return task()
+        except OSError:
+            self._is_broken = True
+            raise
+
     def _fail(self, error: OSError) -> StorageError:
         # After a failed sync the kernel may have dropped the dirty pages, so a later
         # sync may succeed although their content is lost.
         if self._failure is None:
             self._failure = StorageError(
                 f"{self._folder} cannot be written: {error}",
-                "check the disk, then restart the process",
+                "check the disk; the replica takes part again once it can be written",
             )
             for _, future in self._waiters:
                 if not future.done():
@@ -259,6 +326,7 @@
                 await self._run(partial(self._append, segment.name, data, is_new))
             except StorageError:
                 return
+            segment.synced_bytes += len(data)
             self.syncs += 1
             self.last_written = number
             self._release_waiters()
--- a/tests/replication/fakes.py
+++ b/tests/replication/fakes.py
@@ -8,16 +8,37 @@
 
 
 class _File:
+    """Bytes that a read returns, and those that survive a loss of power.
+
+    A failed sync drops the bytes that it should have written: reads still return them,
+    but no later sync makes them durable (`dropped` is their range).
+    """
+
     def __init__(self):
         self.content = b""
         self.durable = b""
+        self.dropped = (0, 0)
+
+    def sync(self, fails):
+        if fails:
+            self.dropped = (len(self.durable), len(self.content))
+            return
+        start, end = self.dropped
+        content = self.content
+        self.durable = content[:start] + bytes(end - start) + content[end:]
+
+    def cut(self, size):
+        self.content = self.content[:size]
+        start, end = self.dropped
+        self.dropped = (start, min(end, size)) if start < size else (0, 0)
 
 
 class MemoryDisk:
     """Files in memory; a crash may lose what was not synced.
 
     `steps` counts file operations; from number `fail_at` on each one fails. While
-    `is_full`, what adds bytes fails, and a part of the bytes may have been written.
+    `is_full`, or from operation `full_at` on, what adds bytes fails after a part of
+    them was written.
     """
 
     def __init__(self):
@@ -27,6 +48,7 @@
         self.fail_at = None
         self.sync_fails = False
         self.is_full = False
+        self.full_at = None
         self._lock = asyncio.Lock()
 
     async def run(self, task):
@@ -53,10 +75,11 @@
             else:
                 file.content = rng.choice([file.content, file.durable])
             file.durable = file.content
+            file.dropped = (0, 0)
             names[path] = file
         self.names, self.durable_names = names, dict(names)
         self.fail_at = None
-        self.sync_fails = False
+        self.sync_fails = self.is_full = False
         self._lock = asyncio.Lock()
 
     @staticmethod
@@ -88,18 +111,20 @@
 
     def write(self, path, data):
         self._step()
-        self.names.setdefault(path, _File()).content = self._fit(data)
+        file = self.names.setdefault(path, _File())
+        file.cut(0)
+        file.content = self._fit(data)
         self._check_space()
 
     def truncate(self, path, size):
         self._step()
-        self._get(path).content = self._get(path).content[:size]
+        self._get(path).cut(size)
 
     def sync(self, path):
         self._step()
+        self._get(path).sync(self.sync_fails)
         if self.sync_fails:
             raise OSError(5, "injected sync failure")
-        self._get(path).durable = self._get(path).content
 
     def rename(self, source, target):
         self._step()
@@ -120,10 +145,13 @@
                     del self.durable_names[path]
 
     def _fit(self, data):
-        return data[: len(data) // 2] if self.is_full else data
+        return data[: len(data) // 2] if self._has_no_space() else data
+
+    def _has_no_space(self):
+        return self.is_full or (self.full_at is not None and self.steps >= self.full_at)
 
     def _check_space(self):
-        if self.is_full:
+        if self._has_no_space():
             raise OSError(28, "No space left on device")
 
     def _get(self, path):
--- a/tests/replication/test_faults.py
+++ b/tests/replication/test_faults.py
@@ -71,20 +71,26 @@
         with self.assertRaises(UnavailableError):
             await cluster.finish(late)
 
-    async def test_failed_sync_ends_acknowledgements_for_good(self):
+    async def test_entries_of_a_failed_sync_are_written_anew(self):
         """Guards against trusting a later sync that succeeds without the lost pages."""
-        cluster = await self.open()
-        leader = await cluster.leader()
-        disk = cluster.disks[leader.node]
-        disk.sync_fails = True
-        with self.assertRaises(UnavailableError):
-            await cluster.finish(leader.propose(b"lost"))
-        disk.sync_fails = False
-        with self.assertRaises(StorageError):
-            await leader.propose(b"refused")
-        self.assertEqual(leader.dump()["role"], "failed")
-        await cluster.propose("second")
-        self.assertNotEqual((await cluster.leader()).node, leader.node)
+        for seed in range(4):
+            cluster = await self.open(1, seed=seed)
+            leader = await cluster.leader()
+            disk = cluster.disks[leader.node]
+            disk.sync_fails = True
+            with self.assertRaises(UnavailableError):
+                await cluster.finish(leader.propose(b"dropped"))
+            disk.sync_fails = False
+            with self.assertRaises(StorageError):
+                await leader.propose(b"refused")
+            self.assertEqual(leader.dump()["role"], "failed")
+            await cluster.propose("second")
+            # What the entries on disk lack now would be missing after the restart.
+            expected = cluster.machines[leader.node].commands
+            self.assertEqual(expected[-1], "second")
+            await cluster.kill(leader.node)
+            await cluster.start(leader.node)
+            self.assertEqual(await cluster.converge(), expected)
 
     async def test_follower_with_failed_disk_neither_acknowledges_nor_votes(self):
         cluster = await self.open()
@@ -93,12 +99,15 @@
         cluster.disks[one].sync_fails = True
         await cluster.propose("second")
         await cluster.kill(two)
-        cluster.disks[one].sync_fails = False
         proposal = asyncio.ensure_future(leader.propose(b"third"))
         await cluster.run(3)
         self.assertFalse(leader.is_leader)
         with self.assertRaises(UnavailableError):
             await cluster.finish(proposal)
+        self.assertEqual(cluster.replicas[one].dump()["role"], "failed")
+        cluster.disks[one].sync_fails = False
+        await cluster.propose("fourth")
+        self.assertEqual((await cluster.converge())[-1], "fourth")
 
     async def test_two_candidates_with_one_majority_give_one_leader(self):
         """Guards against two leaders in one term."""
--- a/tests/replication/test_fuzz.py
+++ b/tests/replication/test_fuzz.py
@@ -111,6 +111,16 @@
         disk = self.cluster.disks[node]
         disk.fail_at = disk.steps + steps
 
+    @rule(node=NODES)
+    def fill_disk(self, node):
+        self.cluster.disks[node].is_full = True
+
+    @rule(node=NODES)
+    def free_disk(self, node):
+        """Give a disk its space back; its process goes on."""
+        self.cluster.disks[node].is_full = False
+        self.wait(0.7)
+
     @rule(node=NODES)
     def isolate(self, node):
         self.cluster.network.isolate(node, self.cluster.voters)
