Explore losses of disks and power after short schedules of faults

A schedule is a list of steps (change, compaction, full disks, restart, wiped disk, replaced host, cut, kill of all, added host) and an end: each choice of disks that may be lost, with the others going on, losing power or being killed, or while a change is on its way.

--- /dev/null
+++ b/bench/_loss_schedules.py
@@ -0,0 +1,365 @@
+"""Schedules of faults at control hosts, each with an end at which disks are lost."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import random
+from typing import TYPE_CHECKING, NamedTuple
+from unittest.mock import patch
+
+from bench._control_hosts import ControlHosts
+from bench._virtual_clock import run_virtually
+from geraniumbend.registries import Registry
+from geraniumbend.replication import _core
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterator
+
+    Step = Callable[["ControlHosts"], Awaitable[None]]
+
+# Bounds of the users' platform, in seconds: a host that is back, or new, counts as lost
+# until then; the time of a lost machine; the time until reads are answered again.
+CATCH_UP_S = 4.0
+DOWN_S = 1.0
+READ_TIMEOUT_S = 15.0
+# Times in seconds.
+FORMATION_S = 3.0
+FULL_S = 1.0
+CUT_S = 2.0
+SENT_SPREAD_S = 0.06
+# Compaction after so few entries that short schedules reach it.
+COMPACT_ENTRIES = 8
+TRAILING_ENTRIES = 3
+CHANGES_TO_COMPACT = 12
+
+steps: Registry[Step] = Registry("step")
+
+
+class Ending(NamedTuple):
+    """End of a schedule.
+
+    Parameters
+    ----------
+    kind : {"kept", "power", "killed", "sent"}
+        What happens to the hosts that keep their disks: they go on, lose power, are
+        killed, or lose power while a change is on its way.
+    lost : tuple of int
+        Positions of the hosts, in order of their names, whose disks are lost.
+    """
+
+    kind: str
+    lost: tuple[int, ...]
+
+
+class Schedule(NamedTuple):
+    """Steps before the end, and the ends to play.
+
+    Parameters
+    ----------
+    hosts : int
+        Number of control hosts.
+    tolerated : int
+        Number of disks that may be lost at once.
+    steps : tuple of str
+        Names of the steps.
+    endings : tuple of Ending
+        Ends; those of kind "kept" are played on runs of their own.
+    seed : int
+        Seed of all random choices.
+    sync_s : float
+        Time of one sync, in seconds.
+    """
+
+    hosts: int
+    tolerated: int
+    steps: tuple[str, ...]
+    endings: tuple[Ending, ...]
+    seed: int
+    sync_s: float
+
+
+class Outcome(NamedTuple):
+    """What was read back after one end of a schedule.
+
+    Parameters
+    ----------
+    steps : tuple of str
+        Names of the steps.
+    ending : Ending
+        The end.
+    seed : int
+        Seed of the schedule.
+    acknowledged : int
+        Newest version that was acknowledged.
+    read : int or None
+        Version that was read back; None if no host answered in time.
+    read_after_s : float
+        Time from the moment at which all hosts are up, in seconds.
+    """
+
+    steps: tuple[str, ...]
+    ending: Ending
+    seed: int
+    acknowledged: int
+    read: int | None
+    read_after_s: float
+
+
+def list_endings(hosts: int, tolerated: int) -> list[Ending]:
+    """Return each choice of disks that may be lost, with each kind of end."""
+    choices = [
+        lost
+        for count in range(tolerated + 1)
+        for lost in itertools.combinations(range(hosts), count)
+    ]
+    endings = [Ending("power", lost) for lost in choices]
+    endings += [Ending("kept", lost) for lost in choices if len(lost) == tolerated]
+    endings += [Ending("sent", lost) for lost in choices if len(lost) == tolerated]
+    return [*endings, Ending("killed", ())]
+
+
+def iterate_sequences(length: int) -> Iterator[tuple[str, ...]]:
+    """Yield all sequences of up to `length` steps, short ones first."""
+    for count in range(length + 1):
+        yield from itertools.product(steps.names(), repeat=count)
+
+
+def play(schedule: Schedule) -> list[Outcome]:
+    """Play a schedule in virtual time and return the outcome of each end."""
+    logging.disable(logging.CRITICAL)
+    random.seed(schedule.seed)
+    outcomes: list[Outcome] = []
+    copied = [e for e in schedule.endings if e.kind != "kept"]
+    with (
+        patch.object(_core, "COMPACT_ENTRIES", COMPACT_ENTRIES),
+        patch.object(_core, "TRAILING_ENTRIES", TRAILING_ENTRIES),
+    ):
+        if copied:
+            outcomes += run_virtually(_Run(schedule).play_copied(copied))
+        for ending in schedule.endings:
+            if ending.kind == "kept":
+                outcomes.append(run_virtually(_Run(schedule).play_kept(ending)))
+    return outcomes
+
+
+class _Run:
+    def __init__(self, schedule: Schedule) -> None:
+        self._schedule = schedule
+        self._rng = random.Random(schedule.seed)
+        self._founders = [f"h{n}" for n in range(1, min(3, schedule.hosts) + 1)]
+        self._hosts = self._create_hosts()
+
+    async def play_kept(self, ending: Ending) -> Outcome:
+        """Lose disks while the other hosts go on."""
+        hosts = await self._play_steps()
+        lost = [sorted(hosts.disks)[position] for position in ending.lost]
+        for name in lost:
+            await hosts.end(name)
+            del hosts.disks[name]
+        await asyncio.sleep(DOWN_S)
+        for name in lost:
+            await hosts.start(name)
+        return await self._read_back(hosts, ending)
+
+    async def play_copied(self, endings: list[Ending]) -> list[Outcome]:
+        """Lose power on copies of the disks, at the acknowledgement or before it."""
+        hosts = await self._play_steps()
+        at_acknowledgement = hosts.copy_disks()
+        acknowledged_then = hosts.acknowledged
+        outcomes: list[Outcome] = []
+        for ending in endings:
+            disks = {name: disk.copy() for name, disk in at_acknowledgement.items()}
+            acknowledged = acknowledged_then
+            if ending.kind == "sent":
+                change = asyncio.ensure_future(hosts.change())
+                await asyncio.sleep(self._rng.uniform(0.0, SENT_SPREAD_S))
+                disks = hosts.copy_disks()
+                acknowledged = hosts.acknowledged
+                await change
+            outcomes.append(await self._restart(disks, ending, acknowledged))
+        await hosts.close()
+        return outcomes
+
+    async def _play_steps(self) -> ControlHosts:
+        hosts = self._hosts
+        for number in range(1, self._schedule.hosts + 1):
+            await hosts.start(f"h{number}", is_first=True)
+        await asyncio.sleep(FORMATION_S)
+        await hosts.change()
+        for name in self._schedule.steps:
+            await steps.get(name)(hosts)
+        await hosts.change()
+        return hosts
+
+    async def _restart(
+        self, disks: dict[str, object], ending: Ending, acknowledged: int
+    ) -> Outcome:
+        hosts = self._create_hosts()
+        hosts.acknowledged = acknowledged
+        for position, name in enumerate(sorted(disks)):
+            if position in ending.lost:
+                continue
+            hosts.disks[name] = disks[name]  # type: ignore[assignment]
+            if ending.kind != "killed":
+                hosts.disks[name].lose_power(self._rng)
+        for name in sorted(disks):
+            await hosts.start(name)
+        return await self._read_back(hosts, ending)
+
+    async def _read_back(self, hosts: ControlHosts, ending: Ending) -> Outcome:
+        acknowledged = hosts.acknowledged
+        read, seconds = await hosts.read(READ_TIMEOUT_S)
+        await hosts.close()
+        schedule = self._schedule
+        return Outcome(
+            schedule.steps, ending, schedule.seed, acknowledged, read, seconds
+        )
+
+    def _create_hosts(self) -> ControlHosts:
+        schedule = self._schedule
+        return ControlHosts(
+            self._founders, schedule.tolerated, schedule.sync_s, self._rng
+        )
+
+
+async def _find_leader(hosts: ControlHosts) -> str:
+    """Return the leader, or any host if there is none for long."""
+    return await hosts.wait_leader() or sorted(hosts.hosts)[0]
+
+
+def _pick_follower(hosts: ControlHosts) -> str:
+    leader = hosts.find_leader()
+    return hosts.rng.choice([name for name in sorted(hosts.hosts) if name != leader])
+
+
+@steps.register("change")
+async def _change(hosts: ControlHosts) -> None:
+    await hosts.change()
+
+
+@steps.register("compact")
+async def _compact(hosts: ControlHosts) -> None:
+    for _ in range(CHANGES_TO_COMPACT):
+        await hosts.change()
+
+
+@steps.register("fill_followers")
+async def _fill_followers(hosts: ControlHosts) -> None:
+    leader = hosts.find_leader()
+    followers = [name for name in sorted(hosts.hosts) if name != leader]
+    await _fill(hosts, hosts.rng.sample(followers, hosts.tolerated))
+
+
+@steps.register("fill_leader")
+async def _fill_leader(hosts: ControlHosts) -> None:
+    await _fill(hosts, [await _find_leader(hosts)])
+
+
+async def _fill(hosts: ControlHosts, names: list[str]) -> None:
+    """Let disks refuse writes while changes are sent, and work again."""
+    for name in names:
+        hosts.disks[name].is_full = True
+    change = asyncio.ensure_future(hosts.change())
+    await asyncio.sleep(FULL_S)
+    for name in names:
+        hosts.disks[name].is_full = False
+    await change
+    await asyncio.sleep(CATCH_UP_S)
+
+
+@steps.register("restart_leader")
+async def _restart_leader(hosts: ControlHosts) -> None:
+    await _restart(hosts, await _find_leader(hosts), keeps_disk=True)
+
+
+@steps.register("restart_follower")
+async def _restart_follower(hosts: ControlHosts) -> None:
+    await _restart(hosts, _pick_follower(hosts), keeps_disk=True)
+
+
+@steps.register("wipe_leader")
+async def _wipe_leader(hosts: ControlHosts) -> None:
+    await _restart(hosts, await _find_leader(hosts), keeps_disk=False)
+
+
+@steps.register("wipe_follower")
+async def _wipe_follower(hosts: ControlHosts) -> None:
+    await _restart(hosts, _pick_follower(hosts), keeps_disk=False)
+
+
+async def _restart(hosts: ControlHosts, name: str, keeps_disk: bool) -> None:
+    await hosts.end(name)
+    if not keeps_disk:
+        del hosts.disks[name]
+    await hosts.change()
+    await asyncio.sleep(DOWN_S)
+    await hosts.start(name)
+    await asyncio.sleep(CATCH_UP_S)
+
+
+@steps.register("replace_leader")
+async def _replace_leader(hosts: ControlHosts) -> None:
+    await _replace(hosts, await _find_leader(hosts))
+
+
+@steps.register("replace_follower")
+async def _replace_follower(hosts: ControlHosts) -> None:
+    await _replace(hosts, _pick_follower(hosts))
+
+
+async def _replace(hosts: ControlHosts, name: str) -> None:
+    """Remove a host for good; an empty one comes at another address."""
+    await hosts.end(name)
+    del hosts.disks[name]
+    await asyncio.sleep(DOWN_S)
+    await hosts.start(f"{name}x")
+    await asyncio.sleep(CATCH_UP_S)
+
+
+@steps.register("stop_leader")
+async def _stop_leader(hosts: ControlHosts) -> None:
+    name = await _find_leader(hosts)
+    await hosts.stop(name)
+    await hosts.change()
+    await hosts.start(name)
+    await asyncio.sleep(CATCH_UP_S)
+
+
+@steps.register("cut_leader")
+async def _cut_leader(hosts: ControlHosts) -> None:
+    await _cut(hosts, await _find_leader(hosts), both_ways=True)
+
+
+@steps.register("cut_leader_one_way")
+async def _cut_leader_one_way(hosts: ControlHosts) -> None:
+    await _cut(hosts, await _find_leader(hosts), both_ways=False)
+
+
+async def _cut(hosts: ControlHosts, name: str, both_ways: bool) -> None:
+    others = [other for other in hosts.hosts if other != name]
+    hosts.network.cut = {(name, other) for other in others}
+    if both_ways:
+        hosts.network.cut |= {(other, name) for other in others}
+    await hosts.change()
+    await asyncio.sleep(CUT_S)
+    hosts.network.cut = set()
+    await asyncio.sleep(CATCH_UP_S)
+
+
+@steps.register("kill_all")
+async def _kill_all(hosts: ControlHosts) -> None:
+    names = sorted(hosts.hosts)
+    for name in names:
+        await hosts.end(name, loses_power=False)
+    await asyncio.sleep(DOWN_S)
+    for name in names:
+        await hosts.start(name)
+    await hosts.wait_leader()
+
+
+@steps.register("add_host")
+async def _add_host(hosts: ControlHosts) -> None:
+    await hosts.start(f"n{len(hosts.disks)}")
+    await asyncio.sleep(CATCH_UP_S)
--- a/bench/_virtual_clock.py
+++ b/bench/_virtual_clock.py
@@ -63,5 +63,6 @@
         pending = asyncio.all_tasks(loop)
         for task in pending:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        if pending:
+            loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
         loop.close()
