Let an empty control host meet hosts that missed a change, in the exploration

The new end cuts as many hosts off as are tolerated, changes the configuration, empties a disk and lets that host back for up to 150 ms before the others lose power and the cut heals. An answer then must be the newest version or none.

--- a/bench/_final_losses.py
+++ b/bench/_final_losses.py
@@ -10,6 +10,7 @@
 
 from bench._experiments import Options, experiments
 from bench._loss_schedules import (
+    LIVE_KINDS,
     Ending,
     Outcome,
     Schedule,
@@ -27,7 +28,7 @@
 # Longer sequences, drawn at random, and the ends that are drawn for each.
 SAMPLED_SEQUENCES = 400
 SAMPLED_STEPS = (2, 3, 4, 5)
-SAMPLED_KEPT = 1
+SAMPLED_LIVE = 1
 SAMPLED_COPIED = 24
 LONG_SEQUENCES = 2
 LONG_CHANGES = 1_000
@@ -109,10 +110,10 @@
 
 def _draw(deployment: Deployment, rng: random.Random) -> list[Ending]:
     endings = list_endings(*deployment)
-    kept = [ending for ending in endings if ending.kind == "kept"]
-    copied = [ending for ending in endings if ending.kind != "kept"]
+    live = [ending for ending in endings if ending.kind in LIVE_KINDS]
+    copied = [ending for ending in endings if ending.kind not in LIVE_KINDS]
     return [
-        *rng.sample(kept, min(SAMPLED_KEPT, len(kept))),
+        *rng.sample(live, SAMPLED_LIVE),
         *rng.choices(copied, k=SAMPLED_COPIED),
     ]
 
--- a/bench/_loss_schedules.py
+++ b/bench/_loss_schedules.py
@@ -33,11 +33,16 @@
 FULL_S = 1.0
 CUT_S = 2.0
 SENT_SPREAD_S = 0.06
+MINORITY_READ_S = 3.0
+CONTACT_S = 0.15
 # Compaction after so few entries that short schedules reach it.
 COMPACT_ENTRIES = 8
 TRAILING_ENTRIES = 3
 CHANGES_TO_COMPACT = 12
 
+# Kinds of ends that need running processes; the others are played on copies of disks.
+LIVE_KINDS = ("kept", "behind")
+
 steps: Registry[Step] = Registry("step")
 
 
@@ -46,11 +51,14 @@
 
     Parameters
     ----------
-    kind : {"kept", "power", "killed", "sent"}
+    kind : {"kept", "power", "killed", "sent", "behind"}
         What happens to the hosts that keep their disks: they go on, lose power, are
-        killed, or lose power while a change is on its way.
+        killed, or lose power while a change is on its way. With "behind" some hosts are
+        cut off and miss a change, one comes back empty, the others lose power soon
+        after, and the empty one meets those that were cut off.
     lost : tuple of int
-        Positions of the hosts, in order of their names, whose disks are lost.
+        Positions of the hosts, in order of their names, whose disks are lost; with
+        "behind" only that of the last one, the others are cut off.
     """
 
     kind: str
@@ -69,7 +77,7 @@
     steps : tuple of str
         Names of the steps.
     endings : tuple of Ending
-        Ends; those of kind "kept" are played on runs of their own.
+        Ends; those of `LIVE_KINDS` are played on runs of their own.
     seed : int
         Seed of all random choices.
     sync_s : float
@@ -121,6 +129,9 @@
     endings = [Ending("power", lost) for lost in choices]
     endings += [Ending("kept", lost) for lost in choices if len(lost) == tolerated]
     endings += [Ending("sent", lost) for lost in choices if len(lost) == tolerated]
+    for cut in itertools.combinations(range(hosts), tolerated):
+        rest = [position for position in range(hosts) if position not in cut]
+        endings += [Ending("behind", (*cut, emptied)) for emptied in rest]
     return [*endings, Ending("killed", ())]
 
 
@@ -133,9 +144,8 @@
 def play(schedule: Schedule) -> list[Outcome]:
     """Play a schedule in virtual time and return the outcome of each end."""
     logging.disable(logging.CRITICAL)
-    random.seed(schedule.seed)
     outcomes: list[Outcome] = []
-    copied = [e for e in schedule.endings if e.kind != "kept"]
+    copied = [e for e in schedule.endings if e.kind not in LIVE_KINDS]
     with (
         patch.object(_core, "COMPACT_ENTRIES", COMPACT_ENTRIES),
         patch.object(_core, "TRAILING_ENTRIES", TRAILING_ENTRIES),
@@ -145,11 +155,15 @@
         for ending in schedule.endings:
             if ending.kind == "kept":
                 outcomes.append(run_virtually(_Run(schedule).play_kept(ending)))
+            elif ending.kind == "behind":
+                outcomes.append(run_virtually(_Run(schedule).play_behind(ending)))
     return outcomes
 
 
 class _Run:
     def __init__(self, schedule: Schedule) -> None:
+        # The jitter of timers draws from the global generator.
+        random.seed(schedule.seed)
         self._schedule = schedule
         self._rng = random.Random(schedule.seed)
         self._founders = [f"h{n}" for n in range(1, min(3, schedule.hosts) + 1)]
@@ -167,6 +181,42 @@
             await hosts.start(name)
         return await self._read_back(hosts, ending)
 
+    async def play_behind(self, ending: Ending) -> Outcome:
+        """Let hosts that missed a change meet one that comes back empty."""
+        hosts = await self._play_steps()
+        names = sorted(hosts.disks)
+        *cut, emptied = [names[position] for position in ending.lost]
+        rest = [name for name in names if name not in cut]
+        hosts.network.cut = {(a, b) for a in cut for b in rest}
+        hosts.network.cut |= {(b, a) for a in cut for b in rest}
+        await hosts.change()
+        await hosts.end(emptied)
+        del hosts.disks[emptied]
+        await asyncio.sleep(DOWN_S)
+        await hosts.start(emptied)
+        # The empty host may hold a part of the log when the others are lost to it.
+        await asyncio.sleep(self._rng.uniform(0.0, CONTACT_S))
+        for name in rest:
+            if name != emptied:
+                await hosts.end(name)
+        hosts.network.cut = set()
+        read, seconds = await hosts.read(MINORITY_READ_S)
+        if read is not None and read < hosts.acknowledged:
+            await hosts.close()
+            schedule = self._schedule
+            return Outcome(
+                schedule.steps,
+                ending,
+                schedule.seed,
+                hosts.acknowledged,
+                read,
+                seconds,
+            )
+        for name in rest:
+            if name != emptied:
+                await hosts.start(name)
+        return await self._read_back(hosts, ending)
+
     async def play_copied(self, endings: list[Ending]) -> list[Outcome]:
         """Lose power on copies of the disks, at the acknowledgement or before it."""
         hosts = await self._play_steps()
