Refuse announcements that no record can hold, and read on behind a malformed record

A start time of 2**63 or more passed the listener and was stored in the host that had taken it, but could not be sent: a second host kept up by gossip, but when it was restarted and synchronised with the first one it knew no server at all 10 s later (run on the code before, two hosts, virtual time). 2**31 slots ended the call with an untyped error, and so did a body nested 100,000 deep, at the listeners of instances, operators and announcements, and in the settings and the command line. A malformed record made its receivers drop the whole message with the records of all other servers. A load report with an integer beyond the range of floats ended its probe. No process ended by itself: all of these are caught by the libraries' handlers.

Change: the directory checks the ranges of all fields before it builds a record; JSON from outside is read by one function, which takes too deep nesting for malformed; malformed records are left out one by one (event 809). Ports out of range were refused before.

--- a/src/geraniumbend/adapters/_load_probe.py
+++ b/src/geraniumbend/adapters/_load_probe.py
@@ -117,8 +117,12 @@
         return None
     if not isinstance(document, dict):
         return None
-    return {
-        name: float(value)
+    numbers = {
+        name: value
         for name, value in document.items()
         if isinstance(value, int | float) and not isinstance(value, bool)
     }
+    try:
+        return {name: float(value) for name, value in numbers.items()}
+    except OverflowError:
+        return None
--- a/src/geraniumbend/adapters/operators_api.py
+++ b/src/geraniumbend/adapters/operators_api.py
@@ -28,8 +28,14 @@
     parse_operation,
     plan_operations,
 )
-from geraniumbend.errors import ConfigurationError, ConflictError, GeraniumbendError
+from geraniumbend.errors import (
+    ConfigurationError,
+    ConflictError,
+    GeraniumbendError,
+    ProtocolError,
+)
 from geraniumbend.logs import declare_event, log_event
+from geraniumbend.wire import decode_document
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -364,10 +370,11 @@
     if request.headers.get("content-type", "").startswith("application/toml"):
         return {"toml": request.body.decode("utf-8", "replace")}
     try:
-        body = msgspec.json.decode(request.body)
-    except msgspec.DecodeError as error:
+        body: Any = decode_document(request.body)
+    except ProtocolError as error:
         raise ConfigurationError(
-            f"the body is not valid JSON: {error}", "send JSON or application/toml"
+            f"the body is not valid JSON: {error.message}",
+            "send JSON or application/toml",
         ) from error
     if not isinstance(body, dict):
         raise ConfigurationError("the body is not a JSON object", "send an object")
--- a/src/geraniumbend/cli/_client.py
+++ b/src/geraniumbend/cli/_client.py
@@ -103,7 +103,12 @@
                 except UnavailableError as error:
                     is_any_running = True
                     last_error = error
-                except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+                except (
+                    aiohttp.ClientError,
+                    TimeoutError,
+                    ValueError,
+                    RecursionError,
+                ) as error:
                     last_error = error
             if not is_any_running or loop.time() >= end_s:
                 break
--- a/src/geraniumbend/membership/_announcement_api.py
+++ b/src/geraniumbend/membership/_announcement_api.py
@@ -14,6 +14,7 @@
 )
 from geraniumbend.membership._server_records import MAX_LEASE_S, Announcement
 from geraniumbend.model import BackendServer
+from geraniumbend.wire import decode_document
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -228,10 +229,10 @@
             "send fewer or shorter labels",
         )
     try:
-        document = msgspec.json.decode(body, type=AnnouncementBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        document = decode_document(body, AnnouncementBody)
+    except ProtocolError as error:
         raise ProtocolError(
-            f"announcement is invalid: {error}",
+            f"announcement is invalid: {error.message}",
             "correct the document; docs/reference/announcements.md lists its members",
         ) from error
     try:
--- a/src/geraniumbend/membership/_records.py
+++ b/src/geraniumbend/membership/_records.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from geraniumbend.errors import ProtocolError
+from geraniumbend.logs import log_event
 from geraniumbend.wire import load_structs
 
 if TYPE_CHECKING:
@@ -283,5 +284,11 @@
 
 
 def unpack_records(deltas: Iterable[Any] | None) -> list[Record]:
-    """Return all records of a message; see `unpack_record`."""
-    return [unpack_record(delta) for delta in deltas or []]
+    """Return the records of a message; malformed ones are left out."""
+    records = []
+    for delta in deltas or []:
+        try:
+            records.append(unpack_record(delta))
+        except ProtocolError:
+            log_event(809, kind=str(delta.kind)[:60], key=str(delta.key)[:120])
+    return records
--- a/src/geraniumbend/membership/_server_directory.py
+++ b/src/geraniumbend/membership/_server_directory.py
@@ -33,6 +33,9 @@
 VERSIONS_PER_SEQUENCE = 1 << 9
 # The record has to fit into one datagram.
 MAX_CONTENT_BYTES = 960
+# Bounds of the fields of a record.
+MAX_INCARNATION = (1 << 63) - 1
+MAX_COUNT = (1 << 31) - 1
 
 declare_event(
     810, "backend_server_announced", "info", "A backend server is new or came back."
@@ -199,6 +202,8 @@
         ConflictError
             If a newer incarnation is known.
         """
+        if incarnation:
+            _check_incarnation_range(incarnation)
         entry = self._table.get(SERVER, "", server_id)
         if entry is None:
             if not incarnation:
@@ -405,13 +410,33 @@
             )
 
 
+def _check_incarnation_range(incarnation: int) -> None:
+    if not 0 < incarnation <= MAX_INCARNATION:
+        raise ProtocolError(
+            f"incarnation {incarnation:.3g} is out of range",
+            f"use a number from 1 to {MAX_INCARNATION}",
+        )
+
+
 def _check_limits(announcement: Announcement) -> None:
     if not MIN_LEASE_S <= announcement.lease_s <= MAX_LEASE_S:
         raise ProtocolError(
             f"lease of {announcement.lease_s:.3g} s is out of range",
             f"announce a lease from {MIN_LEASE_S:.0f} to {MAX_LEASE_S:.0f} s",
         )
-    size = len(encode_server(announcement)) + len(announcement.server.server_id)
+    server = announcement.server
+    _check_incarnation_range(server.incarnation)
+    if (
+        not 0 < server.port <= 65535
+        or not 0 < server.slots <= MAX_COUNT
+        or not 0 < server.connection_limit <= MAX_COUNT
+        or not server.host
+    ):
+        raise ProtocolError(
+            "address, slots or connection limit is out of range",
+            f"announce ports up to 65535, slots and connections up to {MAX_COUNT}",
+        )
+    size = len(encode_server(announcement)) + len(server.server_id)
     if size > MAX_CONTENT_BYTES:
         raise ProtocolError(
             f"announcement needs {size} bytes, more than {MAX_CONTENT_BYTES}",
--- a/src/geraniumbend/platform/_configuration.py
+++ b/src/geraniumbend/platform/_configuration.py
@@ -22,6 +22,7 @@
     parse_duration,
     parse_version,
 )
+from geraniumbend.wire import decode_document
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -52,15 +53,13 @@
     ConfigurationError
         If a value is not allowed.
     """
+    remedy = "send the complete document in the documented format"
+    document = decode_document(body, ConfigurationDocument, remedy)
     try:
-        document = msgspec.json.decode(body, type=ConfigurationDocument)
         services = msgspec.convert(document.services.to_dicts(), list[ServiceEntry])
         routes = msgspec.convert(document.routes.to_dicts(), list[RouteEntry])
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise ProtocolError(
-            f"the configuration is invalid: {error}",
-            "send the complete document in the documented format",
-        ) from error
+    except msgspec.MsgspecError as error:
+        raise ProtocolError(f"the configuration is invalid: {error}", remedy) from error
     groups = {entry.name: _read_group(entry) for entry in services}
     rules = {entry.name: _read_rule(entry) for entry in routes}
     if len(groups) != len(services) or len(rules) != len(routes):
--- a/src/geraniumbend/platform/_heartbeats.py
+++ b/src/geraniumbend/platform/_heartbeats.py
@@ -2,13 +2,12 @@
 
 import ipaddress
 
-import msgspec
-
 from geraniumbend.errors import ProtocolError
 from geraniumbend.membership import Announcement
 from geraniumbend.model import BackendServer
 from geraniumbend.platform._configuration import SERVICE_LABEL
 from geraniumbend.platform._wire import Deregistration, Heartbeat
+from geraniumbend.wire import decode_document
 
 DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -38,10 +37,10 @@
         unknown.
     """
     try:
-        heartbeat = msgspec.json.decode(body, type=Heartbeat)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        heartbeat = decode_document(body, Heartbeat)
+    except ProtocolError as error:
         raise ProtocolError(
-            f"heartbeat of {server_id[:60]!r} is invalid: {error}",
+            f"heartbeat of {server_id[:60]!r} is invalid: {error.message}",
             "send the documented fields",
         ) from error
     status = heartbeat.status
@@ -83,13 +82,7 @@
     """
     if not body.strip():
         return 0
-    try:
-        return msgspec.json.decode(body, type=Deregistration).born
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise ProtocolError(
-            f"the deregistration of an instance is invalid: {error}",
-            "send the documented fields",
-        ) from error
+    return decode_document(body, Deregistration, "send the documented fields").born
 
 
 def _split_address(address: str) -> tuple[str, int]:
--- a/src/geraniumbend/platform/_settings.py
+++ b/src/geraniumbend/platform/_settings.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from geraniumbend.errors import SettingsError
+from geraniumbend.errors import ProtocolError, SettingsError
 from geraniumbend.platform._wire import parse_duration
 from geraniumbend.settings import (
     ControlSettings,
@@ -16,6 +16,7 @@
     Settings,
     settings_formats,
 )
+from geraniumbend.wire import decode_document
 
 INTERFACE = "platform"
 KEY_VARIABLE = "GERANIUMBEND_CLUSTER_KEY"
@@ -104,10 +105,10 @@
         If a field is missing or malformed.
     """
     try:
-        given = msgspec.json.decode(text, type=_PlatformSettings)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        given = decode_document(text, _PlatformSettings)
+    except ProtocolError as error:
         raise SettingsError(
-            f"the platform's settings are invalid: {error}",
+            f"the platform's settings are invalid: {error.message}",
             "compare them with the platform's documentation",
         ) from error
     peer_port = given.internal_ports[0]
--- a/src/geraniumbend/wire/__init__.py
+++ b/src/geraniumbend/wire/__init__.py
@@ -4,5 +4,13 @@
 
 from geraniumbend.wire._codec import decode, encode, load_structs
 from geraniumbend.wire._compression import compress, decompress
+from geraniumbend.wire._documents import decode_document
 
-__all__ = ["compress", "decode", "decompress", "encode", "load_structs"]
+__all__ = [
+    "compress",
+    "decode",
+    "decode_document",
+    "decompress",
+    "encode",
+    "load_structs",
+]
--- a/tests/adapters/test_load_probe.py
+++ b/tests/adapters/test_load_probe.py
@@ -26,6 +26,11 @@
         load = await self.probe(reply(text))
         self.assertEqual(load, {"in_flight": 3, "slots": 6, "latency_ms": 1.5})
 
+    async def test_number_that_is_too_large_is_no_load_report(self):
+        """Guards against a probe that ends with an exception nobody expects."""
+        text = b'{"in_flight": 1%s}' % (b"0" * 400)
+        self.assertIsNone(await self.probe(reply(text)))
+
     async def test_late_copy_of_a_response_to_a_request_is_no_load_report(self):
         """Guards against probes that read the answer of the request before them."""
         copy = (
--- a/tests/adapters/test_operators_api.py
+++ b/tests/adapters/test_operators_api.py
@@ -183,6 +183,14 @@
                 self.assertEqual(response[0], status)
                 self.assertTrue(response[1]["detail"])
 
+    # The request ended with an exception that nobody expected, and status 500.
+    async def test_deeply_nested_body_gets_a_problem_document(self):
+        nested = "[" * 100_000 + "]" * 100_000
+        headers = {"Authorization": f"Bearer {WRITER}"}
+        path = "/v1/configuration"
+        async with self.session.post(path, data=nested, headers=headers) as response:
+            self.assertEqual(response.status, 422)
+
     async def test_api_without_tokens_on_a_public_address_is_refused_at_start(self):
         settings = ControlSettings(operators=ListenSettings(host="0.0.0.0"))
         with self.assertRaises(SettingsError):
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -53,6 +53,17 @@
             with self.assertRaises(ProtocolError, msg=str(changes)):
                 self.read(**changes)
 
+    # Another writer's entry ended the call with an exception that nobody expected.
+    def test_deeply_nested_bodies_are_refused(self):
+        nested = "[" * 100_000 + "]" * 100_000
+        body = json.dumps(HEARTBEAT)[:-1] + f', "other": {nested}}}'
+        for read in (
+            lambda: read_heartbeat("i-1", body.encode(), 12.0),
+            lambda: read_deregistration(f'{{"other": {nested}}}'.encode()),
+        ):
+            with self.assertRaises(ProtocolError):
+                read()
+
     def test_deregistration_may_omit_its_incarnation(self):
         self.assertEqual(read_deregistration(b""), 0)
         self.assertEqual(read_deregistration(b'{"born": 5}'), 5)
