Write log lines again after a disk behind standard output was full

Now only a closed stream ends it; lines that could not be written are counted as dropped (event 101). test_lines_are_written_again_after_a_full_disk failed before.

--- a/src/geraniumbend/_logs.py
+++ b/src/geraniumbend/_logs.py
@@ -175,9 +175,12 @@
         try:
             self._stream.write("\n".join(lines) + "\n")
             self._stream.flush()
-        except (OSError, ValueError):
+        except (BrokenPipeError, ValueError):
             # The reader has closed the stream; the process goes on without a log.
             self._limit = 0
+        except OSError:
+            # The file system behind the stream may take lines again later.
+            self.dropped += len(lines)
 
 
 class _QueueingHandler(logging.Handler):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -22,6 +22,19 @@
         return super().write(text)
 
 
+class FullStream(io.StringIO):
+    def __init__(self):
+        super().__init__()
+        self.is_full = True
+        self.refused = threading.Event()
+
+    def write(self, text):
+        if self.is_full:
+            self.refused.set()
+            raise OSError(28, "No space left on device")
+        return super().write(text)
+
+
 class LineWriterTest(unittest.TestCase):
     def test_slow_reader_blocks_no_writer_and_dropped_lines_are_counted(self):
         stream = SlowStream()
@@ -46,6 +59,19 @@
         writer.write("x")
         writer.close()
 
+    # A log file on a disk that was full once stayed silent until a restart.
+    def test_lines_are_written_again_after_a_full_disk(self):
+        stream = FullStream()
+        reported = []
+        writer = LineWriter(stream, on_dropped=reported.append)
+        writer.write("lost")
+        self.assertTrue(stream.refused.wait(5.0))
+        stream.is_full = False
+        writer.write("kept")
+        writer.close()
+        self.assertEqual(stream.getvalue(), "kept\n")
+        self.assertEqual(reported, [1])
+
     def test_lines_go_to_standard_output_with_time_node_and_number(self):
         with mock.patch("sys.stdout", new=io.StringIO()) as output:
             before = LOGGER.handlers, LOGGER.level, LOGGER.propagate
