Expect a further control host on standby until a voter is gone

test_new_host_at_another_address waited until a fourth host votes beside the three voters of a cluster that tolerates one loss. Since the dead voter goes before its successor votes, a further host is a learner until then. The test now asks for that: learner while the three vote, then the lost host gone and the new one a voter, and a change and a read through it as before.

--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -159,14 +159,18 @@
         lost = deployment.controls.pop(3)
         await deployment.start_control(4, bootstrap=False)
         replica = deployment.controls[4]._configuration_log
-        await deployment.wait_until(lambda: replica.dump()["role"] != "learner")
-        await lost.stop()
 
-        def members():
-            return {member.name for member in replica.members()}
+        def roles():
+            return {member.name: member.role for member in replica.members()}
 
+        new_address = f"127.0.1.4:{deployment.peer_port}"
         lost_address = f"127.0.1.3:{deployment.peer_port}"
-        await deployment.wait_until(lambda: lost_address not in members(), 30.0)
+        await deployment.wait_until(lambda: roles().get(new_address) == "learner")
+        await deployment.wait_until(lambda: replica.dump()["applied_index"] > 0)
+        self.assertEqual(roles()[lost_address], "voter")
+        await lost.stop()
+        await deployment.wait_until(lambda: lost_address not in roles(), 30.0)
+        await deployment.wait_until(lambda: roles().get(new_address) == "voter")
         await self.put_configuration(build_document(ROUTES, "r9"), host=4)
         status, body = await deployment.call_control("GET", "/-/config/get", host=4)
         self.assertEqual((status, json.loads(body)["version"]), (200, "r9"))
