Take the exception of an attempt that another one has replaced

An attempt that had failed while its replacement was opened was left with its exception. The new test failed before.

--- a/src/geraniumbend/adapters/_silent_connections.py
+++ b/src/geraniumbend/adapters/_silent_connections.py
@@ -265,3 +265,6 @@
     if not task.done():
         task.cancel()
         await asyncio.wait({task})
+    if not task.cancelled():
+        # Retrieves the exception: the other attempt decides the outcome.
+        task.exception()
--- a/tests/adapters/test_silent_connections.py
+++ b/tests/adapters/test_silent_connections.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import time
 import unittest
 
+from geraniumbend.adapters._silent_connections import _cancel_and_wait
 from geraniumbend.adapters.http_upstream import ConnectionPool
 from geraniumbend.proxying import UpstreamError
 from geraniumbend.timers import LoopTimers
@@ -138,6 +140,22 @@
         self.assertEqual(await read_all(response), b"ok")
         self.assertEqual(self.pool.current.number, 1)
 
+    # An attempt that failed beside another one wrote a traceback to standard output.
+    async def test_exception_of_a_superseded_attempt_is_taken(self):
+        unhandled = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: unhandled.append(context))
+
+        async def fail():
+            raise UpstreamError("no response in time", "unknown")
+
+        attempt = asyncio.ensure_future(fail())
+        await asyncio.sleep(0)
+        await _cancel_and_wait(attempt)
+        del attempt
+        gc.collect()
+        self.assertEqual(unhandled, [])
+
     async def test_cancelled_resend_leaves_no_connection_open(self):
         await self.open_connections(1)
         self.silent = {1, 2}
