Test forwarded requests with broken links, callers that leave, and long bodies

While orders go through another gateway, all connections between the two are broken every 50 ms: no order runs twice and none is refused as not run that ran. A caller that leaves cancels at the server. A body of 500 kB passes unchanged.

--- a/tests/platform/test_lost_links.py
+++ b/tests/platform/test_lost_links.py
@@ -69,6 +69,8 @@
         await self.deployment.start()
         self.addAsyncCleanup(self.deployment.stop)
         self.runs = Counter()
+        self.bodies = []
+        self.work_s = 0.0
         self.backends = []
         for number in range(4):
             backend = ScriptedBackend(self.count_runs(f"i-{number}".encode()))
@@ -81,17 +83,23 @@
         respond = respond_as(server_id)
 
         async def script(received, reader, writer):
-            if b" /-" not in received.head and b"Request-Id" in received.head:
-                fields = received.head.split(b"Geraniumbend-Request-Id: ")
+            fields = received.head.split(b"Geraniumbend-Request-Id: ")
+            if len(fields) > 1:
                 self.runs[fields[1].split(b"\r\n")[0].decode()] += 1
-            await respond(received, reader, writer)
+                self.bodies.append(received.body)
+                ends = time.monotonic() + self.work_s
+                while time.monotonic() < ends:
+                    if reader.at_eof():
+                        return False
+                    await asyncio.sleep(0.01)
+            return await respond(received, reader, writer)
 
         return script
 
     async def start_gateways(self):
         deployment = self.deployment
         await asyncio.gather(*map(deployment.start_gateway, GATEWAYS))
-        document = build_document(ROUTES)
+        document = build_document(ROUTES, limits={"max-body-bytes": 1 << 20})
 
         async def accepted():
             status, _ = await deployment.call_control("POST", "/-/config/put", document)
@@ -178,6 +186,67 @@
     async def test_orders_run_once_through_a_peer(self):
         await self.check_cut("hang", "/q/x", "POST")
 
+    async def cut_first_gateway(self):
+        """Return a gateway that has lost its links and knows it."""
+        cut = self.deployment.gateways[GATEWAYS[0]]
+        await self.send_traffic(0.5)
+        self.links.cut_off(cut, "hang")
+        await self.send_traffic(0.8)
+        self.assertTrue(cut._reachability.is_lost("one"))
+        return cut
+
+    # A caller was told that its order had not run although it had, or it ran twice.
+    async def test_link_between_gateways_that_breaks_gives_no_false_promise(self):
+        cut = await self.cut_first_gateway()
+        self.work_s = 0.1
+        traffic = asyncio.ensure_future(self.send_traffic(3.0, "/q/x", "POST"))
+        broken = 0
+        while not traffic.done():
+            await asyncio.sleep(0.05)
+            for pool in cut._peer_upstream._pools.values():
+                for exchange in list(pool._open):
+                    exchange.discard()
+                    broken += 1
+        results = await traffic
+        self.assertGreater(broken, 20)
+        statuses = Counter(status for _, host, _, status in results if host == 11)
+        self.assertIn(502, statuses)
+        for _, _, name, status in results:
+            self.assertLessEqual(self.runs[name], 1)
+            if status in (408, 421, 429, 503):
+                self.assertEqual(self.runs[name], 0, "told not run, but ran")
+
+    async def test_caller_that_leaves_cancels_the_request_behind_the_peer(self):
+        await self.cut_first_gateway()
+        self.work_s = 5.0
+        for backend in self.backends:
+            backend.closed.clear()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.4):
+                await self.deployment.send_request("/p/x", GATEWAYS[0])
+        closed = [asyncio.ensure_future(b.closed.wait()) for b in self.backends]
+        done, waiting = await asyncio.wait(
+            closed, timeout=0.5, return_when=asyncio.FIRST_COMPLETED
+        )
+        self.assertTrue(done)
+        for task in waiting:
+            task.cancel()
+
+    # Longer than what a gateway buffers, so that it passes through as a stream.
+    async def test_long_body_reaches_the_server_unchanged(self):
+        await self.cut_first_gateway()
+        body = bytes(range(256)) * 2000
+        self.bodies.clear()
+        status, _, _ = await self.deployment.call(
+            "POST",
+            GATEWAYS[0],
+            self.deployment.front_port,
+            "/q/x",
+            body,
+            {"Host": "h.example", "Geraniumbend-Deadline-Ms": "1500"},
+        )
+        self.assertEqual((status, self.bodies), (200, [body]))
+
     async def test_gateway_serves_by_itself_again_after_the_cut(self):
         cut = self.deployment.gateways[GATEWAYS[0]]
         await self.send_traffic(0.5)
