Split the repair of disks, the links of a gateway and the steps of the exploration

Moves only, but for TCP time-outs: sockets to servers and between processes get values that agree from one place.

--- a/bench/_final_losses.py
+++ b/bench/_final_losses.py
@@ -17,8 +17,8 @@
     iterate_sequences,
     list_endings,
     play,
-    steps,
 )
+from bench._loss_steps import steps
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/geraniumbend/adapters/_generation.py
+++ b/src/geraniumbend/adapters/_generation.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from geraniumbend.adapters._backend_protocol import BackendProtocol
+from geraniumbend.adapters._sockets import limit_silence
 
 if TYPE_CHECKING:
     import ssl
@@ -18,11 +19,6 @@
 
     from geraniumbend.timers import TimerService
 
-TCP_USER_TIMEOUT_MS = 5_000
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_INTERVAL_S = 2
-KEEPALIVE_PROBES = 3
-
 
 class IdleConnection(NamedTuple):
     """A connection without an open request.
@@ -175,11 +171,5 @@
     created = socket.socket(family, kind, number)
     created.setblocking(False)
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    # The kernel closes a connection whose sent bytes or keepalive probes are not
-    # acknowledged. If a middlebox acknowledges them, the pool detects the silence.
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    limit_silence(created)
     return created
--- a/src/geraniumbend/adapters/_rpc_client.py
+++ b/src/geraniumbend/adapters/_rpc_client.py
@@ -6,6 +6,7 @@
 
 from geraniumbend import errors
 from geraniumbend.adapters._rpc_frames import FrameChannel
+from geraniumbend.adapters._sockets import limit_silence
 from geraniumbend.errors import GeraniumbendError, UnavailableError
 from geraniumbend.traffic import ignore_traffic
 from geraniumbend.wire import decode, encode, load_structs
@@ -239,7 +240,11 @@
     while True:
         try:
             async with asyncio.timeout(attempt_s):
-                return await asyncio.open_connection(host, port, limit=1024 * 1024)
+                reader, writer = await asyncio.open_connection(
+                    host, port, limit=1024 * 1024
+                )
+                limit_silence(writer.get_extra_info("socket"))
+                return reader, writer
         except TimeoutError:
             attempt_s *= 2
 
--- a/src/geraniumbend/adapters/_rpc_server.py
+++ b/src/geraniumbend/adapters/_rpc_server.py
@@ -9,6 +9,7 @@
     FrameAllowance,
     FrameChannel,
 )
+from geraniumbend.adapters._sockets import limit_silence
 from geraniumbend.errors import GeraniumbendError, ProtocolError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.wire import decode, encode, load_structs
@@ -117,6 +118,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        limit_silence(writer.get_extra_info("socket"))
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
--- /dev/null
+++ b/src/geraniumbend/adapters/_sockets.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+import socket
+
+# Time after which the kernel closes a connection whose peer acknowledges nothing, in
+# seconds. TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their
+# count, so the probes are set to end at the same time.
+SILENCE_LIMIT_S = 5
+KEEPALIVE_IDLE_S = 3
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+def limit_silence(connected: socket.socket) -> None:
+    """Let the kernel close a TCP connection whose peer has fallen silent.
+
+    Parameters
+    ----------
+    connected : socket.socket
+        TCP socket. If a middlebox acknowledges bytes and probes, the silence shows only
+        in the protocol above.
+    """
+    set_tcp = {
+        socket.TCP_USER_TIMEOUT: SILENCE_LIMIT_S * 1000,
+        socket.TCP_KEEPIDLE: KEEPALIVE_IDLE_S,
+        socket.TCP_KEEPINTVL: KEEPALIVE_INTERVAL_S,
+        socket.TCP_KEEPCNT: KEEPALIVE_PROBES,
+    }
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in set_tcp.items():
+        connected.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/src/geraniumbend/replication/_core.py
+++ b/src/geraniumbend/replication/_core.py
@@ -13,6 +13,7 @@
 )
 from geraniumbend.logs import log_event
 from geraniumbend.replication import _events  # noqa: F401
+from geraniumbend.replication._disk_recovery import DiskRecovery
 from geraniumbend.replication._entries import COMMAND, MEMBERS, Entry, EntryLog
 from geraniumbend.replication._files import Snapshot, VoteState
 from geraniumbend.replication._members import MemberSet, decode_members
@@ -31,8 +32,6 @@
 # The log is compacted after this many applied entries or bytes of entry data.
 COMPACT_ENTRIES = 1_000
 COMPACT_BYTES = 4 * 1024 * 1024
-# Period in seconds between attempts to write to a disk that has refused a write.
-DISK_RETRY_S = 0.5
 # Entries that compaction keeps in memory although the snapshot covers them, so that
 # a follower that lags by less gets entries instead of the whole snapshot.
 TRAILING_ENTRIES = 500
@@ -132,9 +131,7 @@
         self.on_written = _ignore
         self._compaction: asyncio.Task[None] | None = None
         self._cluster_id_save: asyncio.Task[None] | None = None
-        self._disk_recovery: asyncio.Task[None] | None = None
-        # Whether the files are loaded, so that memory holds what a repair writes.
-        self.is_loaded = False
+        self.disk_recovery = DiskRecovery(self)
 
     @property
     def term(self) -> int:
@@ -247,8 +244,7 @@
         if self.failure is None:
             self.failure = error
             log_event(502, shard=self.shard, error=str(error))
-            if self.is_loaded:
-                self._disk_recovery = asyncio.ensure_future(self._recover_disk())
+            self.disk_recovery.start()
         self.step_down()
         self._release_applied_waiters()
 
@@ -355,9 +351,7 @@
 
     async def stop(self) -> None:
         """Fail pending proposals and reads and wait for running writes."""
-        self.is_loaded = False
-        if self._disk_recovery is not None:
-            self._disk_recovery.cancel()
+        await self.disk_recovery.stop()
         self.step_down()
         waiters, self._applied_waiters = self._applied_waiters, []
         for _, future in waiters:
@@ -365,7 +359,7 @@
                 future.set_exception(
                     UnavailableError(f"{self.node} stops", "try another control host")
                 )
-        background = [self._compaction, self._cluster_id_save, self._disk_recovery]
+        background = [self._compaction, self._cluster_id_save]
         running = [task for task in background if task is not None]
         await asyncio.gather(*running, return_exceptions=True)
         await self.storage.close()
@@ -444,23 +438,6 @@
         self.log.discard(snapshot.index - TRAILING_ENTRIES)
         log_event(506, shard=self.shard, index=snapshot.index)
 
-    async def _recover_disk(self) -> None:
-        """Take part again once the disk takes writes again."""
-        failed_at = self.timers.now()
-        attempts = 0
-        while self.failure is not None:
-            await self.timers.sleep(DISK_RETRY_S)
-            attempts += 1
-            with suppress(OSError):
-                self.saved_vote_state = await self.storage.recover(
-                    lambda: self.log.list_unwritten(self.storage.last_written),
-                    lambda: self.vote_state,
-                )
-                self.failure = None
-        self.timeout_start = self.timers.now()
-        seconds = round(self.timeout_start - failed_at, 3)
-        log_event(510, shard=self.shard, attempts=attempts, seconds=seconds)
-
     async def _write_vote_state(self) -> None:
         # A failed write is recorded in `failure`.
         with suppress(StorageError):
--- a/src/geraniumbend/replication/_replica.py
+++ b/src/geraniumbend/replication/_replica.py
@@ -179,7 +179,7 @@
             core.vote_state = core.vote_state._replace(
                 cluster_id=core.members.cluster_id
             )
-        core.is_loaded = True
+        core.disk_recovery.enable()
         contact_at = self._process_started_at
         if contact_at is None:
             contact_at = core.timers.now()
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -24,14 +24,9 @@
 from geraniumbend.orders import OrderClient
 from geraniumbend.proxying import PeerForwarder, PlannedStop, Proxy, ProxyParts
 from geraniumbend.quarantine import Quarantine
-from geraniumbend.reachability import (
-    ALL_SERVERS,
-    SILENCE_S,
-    LostLinks,
-    Reachability,
-)
+from geraniumbend.reachability import SILENCE_S
 from geraniumbend.retries import RetryBudget
-from geraniumbend.roles._link_watch import LinkWatch
+from geraniumbend.roles._gateway_links import GatewayLinks
 from geraniumbend.roles._peer_sessions import PeerSessions
 from geraniumbend.routing import (
     LoadReport,
@@ -46,7 +41,7 @@
 from geraniumbend.traffic import TrafficCounters
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Mapping
 
     from geraniumbend.adapters.http_listener import HttpCallerRequest
     from geraniumbend.model import BackendServer, Configuration
@@ -123,9 +118,8 @@
             settings, self._table, self._shares, timers
         )
         backend_certificates = client_certificates(gateway.backend_tls)
-        self._reachability = Reachability(
-            timers, self._list_groups, self._count_servers, self._handle_link_change
-        )
+        self._links = GatewayLinks(self._membership, self._table, timers)
+        self._reachability = self._links.reachability
         self._upstream = HttpUpstream(
             timers,
             self._shares.gateway_share,
@@ -135,14 +129,6 @@
             settings.node.failure_domain,
             self._reachability,
         )
-        self._lost_links = LostLinks(self._membership)
-        self._link_watch = LinkWatch(
-            self._reachability,
-            self._lost_links,
-            self._upstream,
-            self._list_servers,
-            timers,
-        )
         self._peer_upstream = HttpUpstream(
             timers,
             _use_all_connections,
@@ -151,7 +137,7 @@
         )
         self._peer_sessions = PeerSessions(
             self._membership,
-            self._lost_links,
+            self._links.lost_links,
             self._clients,
             self._read_forward_port,
         )
@@ -242,6 +228,7 @@
         await self._membership.start()
         self._rate_totals.start()
         self._limits.start()
+        self._links.start(self._upstream)
         self._loads_timer = self._timers.every(
             LOADS_APPLY_PERIOD_S, self._apply_announced_loads
         )
@@ -284,7 +271,7 @@
         await self._orders.stop()
         await self._follower.stop()
         self._limits.stop()
-        self._link_watch.stop()
+        self._links.stop()
         self._rate_totals.stop()
         await self._membership.stop()
         await self._announce_listener.stop()
@@ -370,23 +357,6 @@
         listens = self._listening and not self._draining
         return self._forward_listener.port if listens else 0
 
-    def _list_groups(self, server_id: str) -> Sequence[str]:
-        view = self._table.view(server_id)
-        return () if view is None else view.groups
-
-    def _count_servers(self, group: str) -> int:
-        if group == ALL_SERVERS:
-            return len(self._membership.servers())
-        return len(self._table.available(group))
-
-    def _list_servers(self, group: str) -> list[BackendServer]:
-        if group == ALL_SERVERS:
-            return list(self._membership.servers().values())
-        return [view.server for view in self._table.available(group)]
-
-    def _handle_link_change(self) -> None:
-        self._link_watch.update()
-
     def _create_observer(self) -> Any:
         metrics = self._metrics
         count_request = metrics.declare_counter(
@@ -418,7 +388,7 @@
         metrics.declare_gauge(
             "lost_links",
             "Number of groups of which this gateway reaches no backend server.",
-            lambda: {(): float(len(self._reachability.list_lost()))},
+            self._links.count_lost,
         )
         metrics.declare_gauge(
             "traffic_bytes",
--- a/tests/replication/test_final_losses.py
+++ b/tests/replication/test_final_losses.py
@@ -6,7 +6,8 @@
 import random
 import unittest
 
-from bench._loss_schedules import Ending, Schedule, list_endings, play, steps
+from bench._loss_schedules import Ending, Schedule, list_endings, play
+from bench._loss_steps import steps
 
 HOSTS = 5
 TOLERATED = 2
--- a/tests/replication/test_full_disks.py
+++ b/tests/replication/test_full_disks.py
@@ -9,6 +9,7 @@
 
 from geraniumbend.errors import GeraniumbendError, StorageError
 from geraniumbend.replication import _core
+from geraniumbend.replication._disk_recovery import DISK_RETRY_S
 from geraniumbend.replication._entries import COMMAND, Entry
 from geraniumbend.replication._files import Snapshot, VoteState
 from geraniumbend.replication._members import MemberSet
@@ -105,7 +106,7 @@
                 acknowledged.append(f"c{number}")
         disk.full_at = None
         disk.fail_at = disk.steps + step
-        await cluster.run(_core.DISK_RETRY_S + 0.1)
+        await cluster.run(DISK_RETRY_S + 0.1)
         await cluster.kill("n1")
         await cluster.start("n1")
         commands = await cluster.converge()
