Regain all links together, and only by servers that answer

A link was also regained by an accepted connection alone; something between can accept connections that carry nothing. Now two servers must answer a probe on a new connection. test_all_links_are_regained_together, and a cut with accepted connections in test_lost_links.

--- a/src/geraniumbend/adapters/_http_upstream.py
+++ b/src/geraniumbend/adapters/_http_upstream.py
@@ -2,10 +2,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
-
 from geraniumbend.adapters._connection_pool import ConnectionPool
-from geraniumbend.adapters._generation import Generation
 from geraniumbend.proxying import UpstreamError
 from geraniumbend.traffic import ignore_traffic
 
@@ -82,24 +79,26 @@
                 self._on_unreachable(server.server_id)
             raise
 
-    async def check_connection(self, server: BackendServer, timeout_s: float) -> bool:
-        """Return whether a server accepts a new connection, which is closed again.
+    async def check_connection(
+        self, server: BackendServer, request: UpstreamRequest
+    ) -> bool:
+        """Return whether a server answers on a new connection, which is closed again.
 
         Parameters
         ----------
         server : BackendServer
             Server.
-        timeout_s : float
-            Longest wait in seconds.
+        request : UpstreamRequest
+            Request whose response head has to arrive.
         """
-        generation = Generation(server.host, server.port, 0, self._timers, self._tls)
+        pool = ConnectionPool(server, self._timers, self._share, self._tls)
         try:
-            connection = await generation.open(timeout_s)
-        except (aiohttp.ClientError, OSError):
+            exchange = await pool.send(request)
+            exchange.discard()
+        except UpstreamError:
             return False
         finally:
-            await generation.close()
-        connection.close()
+            await pool.close()
         return True
 
     def retain(self, servers: Iterable[BackendServer]) -> None:
--- a/src/geraniumbend/adapters/_load_probe.py
+++ b/src/geraniumbend/adapters/_load_probe.py
@@ -43,6 +43,28 @@
         self._timers = timers
         self._dialect = dialect or StandardDialect()
 
+    def build_request(
+        self, server: BackendServer, path: str, timeout_s: float
+    ) -> UpstreamRequest:
+        """Return the request that asks a server for its load."""
+        return UpstreamRequest(
+            method="GET",
+            head=self._dialect.write_probe(server, path),
+            body=b"",
+            source=None,
+            chunked=False,
+            safe=True,
+            deadline_s=self._timers.now() + timeout_s,
+            silence_timeout_s=timeout_s,
+            # A probe is not resent on another connection: it would load the server
+            # twice.
+            build_resend=lambda: None,
+            purpose="probes",
+            may_send=lambda: (
+                self._limits is None or self._limits.may_send(server, None, "probe")
+            ),
+        )
+
     async def send(
         self, server: BackendServer, path: str = "/load"
     ) -> Mapping[str, float] | None:
@@ -62,23 +84,7 @@
             of the JSON body; None without a usable response.
         """
         sent_at = self._timers.now()
-        request = UpstreamRequest(
-            method="GET",
-            head=self._dialect.write_probe(server, path),
-            body=b"",
-            source=None,
-            chunked=False,
-            safe=True,
-            deadline_s=self._timers.now() + PROBE_TIMEOUT_S,
-            silence_timeout_s=PROBE_TIMEOUT_S,
-            # A probe is not resent on another connection: it would load the server
-            # twice.
-            build_resend=lambda: None,
-            purpose="probes",
-            may_send=lambda: (
-                self._limits is None or self._limits.may_send(server, None, "probe")
-            ),
-        )
+        request = self.build_request(server, path, PROBE_TIMEOUT_S)
         try:
             response = await self._upstream.send(server, request)
         except UpstreamError:
--- a/src/geraniumbend/reachability/_reachability.py
+++ b/src/geraniumbend/reachability/_reachability.py
@@ -14,7 +14,7 @@
 
 # Stands for the servers of all groups.
 ALL_SERVERS = "*"
-# Servers that must accept a connection before a lost link counts as regained.
+# Servers that must answer on a new connection before a lost link counts as regained.
 CHECKED_SERVERS = 2
 # Silent servers from which on a loss of the link is suspected.
 SUSPECT_SERVERS = 2
@@ -124,7 +124,7 @@
         )
 
     def record_check(self, group: str, server_id: str) -> None:
-        """Record that a server of a lost group has accepted a new connection."""
+        """Record that a server of a lost group has answered on a new connection."""
         state = self._states[group]
         if state.lost_since is None:
             return
@@ -137,8 +137,11 @@
         log_event(321, group=group, lost_s=lost_s, reached=sorted(state.reached))
         state.lost_since = None
         state.regained_at = now
-        for link in state.links.values():
-            link.forget()
+        # What was asked while the link was lost says nothing of its state now.
+        regained = self._states.values() if group == ALL_SERVERS else [state]
+        for other in regained:
+            for link in other.links.values():
+                link.forget()
         self._on_change()
 
     def dump(self) -> dict[str, Any]:
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -41,7 +41,7 @@
 from geraniumbend.traffic import TrafficCounters
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
     from geraniumbend.adapters.http_listener import HttpCallerRequest
     from geraniumbend.model import BackendServer, Configuration
@@ -228,7 +228,7 @@
         await self._membership.start()
         self._rate_totals.start()
         self._limits.start()
-        self._links.start(self._upstream)
+        self._links.start(self._answers)
         self._loads_timer = self._timers.every(
             LOADS_APPLY_PERIOD_S, self._apply_announced_loads
         )
@@ -341,15 +341,26 @@
     async def _probe(self, view: ServerView) -> Mapping[str, float] | None:
         if self._limits.is_limited(view.server_id):
             return None
-        groups = self._configuration_view.current.groups
-        paths = [groups[name].health_path for name in view.groups if name in groups]
         self._reachability.begin("answer", view.server_id)
         sent_at = self._timers.now()
-        load = await self._load_probe.send(view.server, paths[0] if paths else "/load")
+        path = self._find_probe_path(view.groups)
+        load = await self._load_probe.send(view.server, path)
         if load is None and self._timers.now() - sent_at < SILENCE_S:
             self._reachability.abandon("answer", view.server_id)
         return load
 
+    def _find_probe_path(self, names: Sequence[str]) -> str:
+        groups = self._configuration_view.current.groups
+        paths = [groups[name].health_path for name in names if name in groups]
+        return paths[0] if paths else "/load"
+
+    async def _answers(self, server: BackendServer, timeout_s: float) -> bool:
+        """Tell whether a server answers on a new connection."""
+        view = self._table.view(server.server_id)
+        path = self._find_probe_path(() if view is None else view.groups)
+        request = self._load_probe.build_request(server, path, timeout_s)
+        return await self._upstream.check_connection(server, request)
+
     async def _handle_forwarded(self, request: HttpCallerRequest) -> None:
         await self._proxy.handle_forwarded(request, self._peer_sessions.token)
 
--- a/src/geraniumbend/roles/_gateway_links.py
+++ b/src/geraniumbend/roles/_gateway_links.py
@@ -6,9 +6,8 @@
 from geraniumbend.roles._link_watch import LinkWatch
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Awaitable, Callable, Sequence
 
-    from geraniumbend.adapters.http_upstream import HttpUpstream
     from geraniumbend.membership import Membership
     from geraniumbend.model import BackendServer
     from geraniumbend.routing import ServerTable
@@ -40,12 +39,18 @@
         self._timers = timers
         self._watch: LinkWatch | None = None
 
-    def start(self, upstream: HttpUpstream) -> None:
-        """Publish lost links, and check with new connections whether they work."""
+    def start(self, answers: Callable[[BackendServer, float], Awaitable[bool]]) -> None:
+        """Publish lost links, and check whether they work again.
+
+        Parameters
+        ----------
+        answers : callable
+            Tells whether a server answers on a new connection within a time in seconds.
+        """
         self._watch = LinkWatch(
             self.reachability,
             self.lost_links,
-            upstream,
+            answers,
             self._list_servers,
             self._timers,
         )
--- a/src/geraniumbend/roles/_link_watch.py
+++ b/src/geraniumbend/roles/_link_watch.py
@@ -7,9 +7,8 @@
 from geraniumbend.reachability import CHECKED_SERVERS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
-    from geraniumbend.adapters.http_upstream import HttpUpstream
     from geraniumbend.model import BackendServer
     from geraniumbend.reachability import LostLinks, Reachability
     from geraniumbend.timers import Subscription, TimerService
@@ -32,8 +31,8 @@
         Links to the backend servers.
     lost_links : LostLinks
         Publishes them.
-    upstream : HttpUpstream
-        Opens connections to backend servers.
+    answers : callable
+        Tells whether a server answers on a new connection within a time in seconds.
     list_servers : callable
         Returns the servers of a group.
     timers : TimerService
@@ -44,13 +43,13 @@
         self,
         reachability: Reachability,
         lost_links: LostLinks,
-        upstream: HttpUpstream,
+        answers: Callable[[BackendServer, float], Awaitable[bool]],
         list_servers: Callable[[str], list[BackendServer]],
         timers: TimerService,
     ) -> None:
         self._reachability = reachability
         self._lost_links = lost_links
-        self._upstream = upstream
+        self._answers = answers
         self._list_servers = list_servers
         self._timers = timers
         self._checks: Subscription | None = None
@@ -88,5 +87,5 @@
         return random.sample(servers, min(CHECKED_SERVERS, len(servers)))
 
     async def _check_server(self, group: str, server: BackendServer) -> None:
-        if await self._upstream.check_connection(server, CHECK_TIMEOUT_S):
+        if await self._answers(server, CHECK_TIMEOUT_S):
             self._reachability.record_check(group, server.server_id)
--- a/tests/platform/test_lost_links.py
+++ b/tests/platform/test_lost_links.py
@@ -26,7 +26,8 @@
 class Links:
     """Cuts the links of some gateways to all backend servers.
 
-    Open connections are closed; new ones hang, or are refused.
+    Open connections are closed; new ones hang, are refused, or are accepted and carry
+    nothing.
     """
 
     def __init__(self):
@@ -42,6 +43,10 @@
                 return await links._open(generation, timeout_s)
             if how == "refused":
                 raise OSError(errno.ECONNREFUSED, "refused")
+            if how == "accepted":
+                connection = await links._open(generation, timeout_s)
+                connection.transport.write = lambda data: None
+                return connection
             await asyncio.sleep(timeout_s)
             raise TimeoutError
 
@@ -182,6 +187,12 @@
     async def test_gateway_whose_connections_are_refused_serves_through_its_peers(self):
         await self.check_cut("refused")
 
+    # Something between accepts connections in place of the servers.
+    async def test_gateway_whose_connections_carry_nothing_serves_through_its_peers(
+        self,
+    ):
+        await self.check_cut("accepted")
+
     # An order that went through another gateway must not run twice.
     async def test_orders_run_once_through_a_peer(self):
         await self.check_cut("hang", "/q/x", "POST")
--- a/tests/reachability/test_reachability.py
+++ b/tests/reachability/test_reachability.py
@@ -110,6 +110,17 @@
         self.assertEqual(self.changes, 2)
         self.assertEqual(self.ask(1.0, SERVERS), set())
 
+    # Groups counted as lost again at once, by what was asked while all links were lost.
+    def test_all_links_are_regained_together(self):
+        self.ask(0.8, [])
+        self.timers.step(MIN_HOLD_S)
+        lost = self.links.list_lost()
+        for group in lost:
+            for server in SERVERS[:2]:
+                self.links.record_check(group, server)
+        self.assertEqual([g for g in GROUPS if self.links.is_lost(g)], [])
+        self.assertEqual(lost, ["*"])
+
     # A link that flaps each second would otherwise pass requests to and fro.
     def test_link_that_flaps_counts_as_lost_for_longer_each_time(self):
         held = []
