Try further servers as before where no other gateway takes a request

While all gateways count the servers of a group as lost, or servers refuse connections because they are full, a request that could not be written to one server was refused at once in place of trying the others. It is given up only if another gateway takes it.

--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -71,6 +71,8 @@
         Hears the limits that backend servers name.
     links : LinksPort or None, default=None
         Links from this gateway to the backend servers.
+    needs_forwarding : callable or None, default=None
+        Tells by group whether other gateways take the requests in place of this one.
     """
 
     def __init__(
@@ -85,9 +87,11 @@
         wait_synchronised: Callable[[], Awaitable[object]] | None = None,
         limits: LimitsPort | None = None,
         links: LinksPort | None = None,
+        needs_forwarding: Callable[[str], bool] | None = None,
     ) -> None:
         self._limits = limits
         self._links = links
+        self._needs_forwarding = needs_forwarding
         self._wait_synchronised = wait_synchronised
         self._log = log
         self._router = router
@@ -157,18 +161,18 @@
             attempt = successor
 
     def _check_link(self, context: RequestContext, error: UpstreamError) -> None:
-        """Give up a request that has not run if the links to its group are lost.
+        """Give up a request that has not run if other gateways take it from now on.
 
         Raises
         ------
         LinkLostError
-            If another gateway may take the request.
+            If the links to the group of the request are lost.
         """
-        if self._links is None or not self._links.is_lost(context.group):
+        if self._needs_forwarding is None or context.request.is_forwarded:
             return
         is_unsent = error.run == "not_run" and not context.unresolved_attempts
         is_replayable = context.body_replayable and context.rule.order is None
-        if is_unsent and is_replayable and not context.request.is_forwarded:
+        if is_unsent and is_replayable and self._needs_forwarding(context.group):
             raise LinkLostError("the links to the backend servers are lost")
 
     async def probe_candidates(
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -158,6 +158,7 @@
             parts.wait_synchronised,
             parts.limits,
             parts.links,
+            parts.forwarder.is_needed if parts.forwarder is not None else None,
         )
         self._order_executor = OrderExecutor(
             self._attempts, parts.orders, parts.timers, node
