Regain a link by ordinary answers too, and check lost links less often

On deployments whose health checks wait for a slot, busy servers answer no check in time: a link that was lost by mistake would have stayed lost, with a probe on a new connection to two servers ten times a second at each gateway, and the quarantine would have heard of no lost server. Now answers to ordinary requests regain a link (not one that was lost for new connections), and checks come four times a second.

--- a/src/geraniumbend/reachability/_reachability.py
+++ b/src/geraniumbend/reachability/_reachability.py
@@ -43,6 +43,8 @@
     def __init__(self, connection: GroupLink, answer: GroupLink) -> None:
         self.links: dict[str, GroupLink] = {"connection": connection, "answer": answer}
         self.lost_since: float | None = None
+        # What was not answered; None if either shows that the link works.
+        self.lost_kind: str | None = None
         self.regained_at = float("-inf")
         self.hold_s = MIN_HOLD_S
         self.reached: set[str] = set()
@@ -88,10 +90,17 @@
             link.begin(server_id, now)
 
     def succeed(self, kind: ExchangeKind, server_id: str) -> None:
-        """Record that a server has accepted a connection or answered."""
+        """Record that a server has accepted a connection or answered.
+
+        An answer on an open connection does not regain a link that was lost for new
+        ones.
+        """
         now = self._timers.now()
-        for link in self._list_links(kind, server_id):
-            link.succeed(server_id, now)
+        for group in (ALL_SERVERS, *self._list_groups(server_id)):
+            state = self._get_state(group)
+            state.links[kind].succeed(server_id, now)
+            if state.lost_since is not None and state.lost_kind in (kind, None):
+                self.record_check(group, server_id)
 
     def fail(self, kind: ExchangeKind, server_id: str) -> None:
         """Record that a server refused, or did not answer in time."""
@@ -189,18 +198,20 @@
             flaps = now - state.regained_at < FLAP_MEMORY_S
             state.hold_s = min(2 * state.hold_s, MAX_HOLD_S) if flaps else MIN_HOLD_S
             state.lost_since = now
+            state.lost_kind = None if group == ALL_SERVERS else kind
             state.reached.clear()
             self._on_change()
             return
 
     def _list_links(self, kind: ExchangeKind, server_id: str) -> list[GroupLink]:
-        links = []
-        for group in (ALL_SERVERS, *self._list_groups(server_id)):
-            state = self._states.get(group)
-            if state is None:
-                state = self._states[group] = _create_state(group)
-            links.append(state.links[kind])
-        return links
+        groups = (ALL_SERVERS, *self._list_groups(server_id))
+        return [self._get_state(group).links[kind] for group in groups]
+
+    def _get_state(self, group: str) -> _GroupState:
+        state = self._states.get(group)
+        if state is None:
+            state = self._states[group] = _create_state(group)
+        return state
 
 
 def _create_state(group: str) -> _GroupState:
--- a/src/geraniumbend/roles/_link_watch.py
+++ b/src/geraniumbend/roles/_link_watch.py
@@ -14,10 +14,10 @@
     from geraniumbend.timers import Subscription, TimerService
 
 # Period and longest wait of the checks whether a lost link works again, in seconds.
-CHECK_PERIOD_S = 0.1
+CHECK_PERIOD_S = 0.25
 CHECK_TIMEOUT_S = 0.25
 # Period in which lost links are published again, in checks.
-PUBLISH_CHECKS = 50
+PUBLISH_CHECKS = 20
 
 
 class LinkWatch:
--- a/tests/reachability/test_reachability.py
+++ b/tests/reachability/test_reachability.py
@@ -110,6 +110,27 @@
         self.assertEqual(self.changes, 2)
         self.assertEqual(self.ask(1.0, SERVERS), set())
 
+    # Servers whose probes wait for a slot answer no check in time while they are busy.
+    def test_ordinary_answers_regain_a_link(self):
+        self.ask(0.5, GROUPS["b"])
+        self.assertTrue(self.links.is_lost("a"))
+        self.ask(MIN_HOLD_S + 0.5, SERVERS)
+        self.assertFalse(self.links.is_lost("a"))
+
+    def test_answers_on_open_connections_regain_no_link_for_new_ones(self):
+        for _ in range(10):
+            for server in GROUPS["a"][:3]:
+                self.links.begin("connection", server)
+                self.links.fail("connection", server)
+            self.links.succeed("answer", "b0")
+            self.timers.step(STEP_S)
+        self.assertTrue(self.links.is_lost("a"))
+        for _ in range(40):
+            for server in GROUPS["a"]:
+                self.links.succeed("answer", server)
+            self.timers.step(STEP_S)
+        self.assertTrue(self.links.is_lost("a"))
+
     # Groups counted as lost again at once, by what was asked while all links were lost.
     def test_all_links_are_regained_together(self):
         self.ask(0.8, [])
