--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -8,7 +8,7 @@
 import unittest
 from unittest import mock
 
-from geraniumbend import logs
+from geraniumbend import logs, timers  # noqa: F401 (declares event 100)
 from geraniumbend._logs import LOGGER, LineWriter
 
 
