Send a streamed body to one gateway only

A gateway that has read a part of a long body and then refuses the forwarded request (it stops, or has lost its links itself) was followed by another one, which would have got the rest of the body only. Found while reading the diff; the new test failed before.

--- a/src/geraniumbend/proxying/_peer_forwarder.py
+++ b/src/geraniumbend/proxying/_peer_forwarder.py
@@ -169,6 +169,8 @@
                 continue
             if response is not None:
                 return response
+            if not context.body_replayable:
+                break
         raise RefusedError(
             "no other gateway has taken the request",
             "send it again; the links to the backend servers are lost here",
--- a/tests/proxying/test_peer_forwarder.py
+++ b/tests/proxying/test_peer_forwarder.py
@@ -176,6 +176,17 @@
         self.assertEqual(len(set(self.upstream.sent)), MAX_PEERS)
         self.assertEqual(context.unresolved_attempts, 0)
 
+    # The next gateway would have got the rest of the body only.
+    async def test_body_that_a_gateway_has_read_and_refused_is_not_sent_again(self):
+        for peer in self.peers.peers:
+            self.upstream.answers[peer.name] = {"Forward-Refused": "stopping"}
+        context = FakeContext()
+        context.body_replayable = False
+        with self.assertRaises(RefusedError) as raised:
+            await self.fetch(context)
+        self.assertEqual(raised.exception.run, "not_run")
+        self.assertEqual(len(self.upstream.sent), 1)
+
     async def test_body_that_was_read_is_not_sent_to_another_gateway(self):
         for peer in self.peers.peers:
             self.upstream.answers[peer.name] = UpstreamError("refused", "not_run")
