Do not take a pause of the process for lost links

The same would happen to a gateway that is paused. Now a silence counts only if it is still seen 40 ms after it was first seen; answers that arrived during the pause are read in that time. test_pause_of_the_process_is_no_lost_link failed before. tests.reachability, test_lost_links and test_server_limit pass.

--- a/src/geraniumbend/reachability/_reachability.py
+++ b/src/geraniumbend/reachability/_reachability.py
@@ -18,6 +18,9 @@
 CHECKED_SERVERS = 2
 # Silent servers from which on a loss of the link is suspected.
 SUSPECT_SERVERS = 2
+# Time for which a silence must last after it was first seen, in seconds. Answers that
+# arrived while the process was paused are read in it.
+CONFIRM_S = 0.04
 # Shortest and longest time for which a link counts as lost, in seconds. The time
 # doubles with each loss that comes soon after the last one.
 MIN_HOLD_S = 0.5
@@ -43,6 +46,8 @@
     def __init__(self, connection: GroupLink, answer: GroupLink) -> None:
         self.links: dict[str, GroupLink] = {"connection": connection, "answer": answer}
         self.lost_since: float | None = None
+        # Time at which the silence was first seen.
+        self.silent_since: float | None = None
         # What was not answered; None if either shows that the link works.
         self.lost_kind: str | None = None
         self.regained_at = float("-inf")
@@ -183,9 +188,20 @@
     def _judge(self, group: str, state: _GroupState) -> None:
         now = self._timers.now()
         servers = self._count_servers(group)
-        for kind, link in state.links.items():
-            if not link.is_silent(servers, now):
-                continue
+        silent = {
+            kind: link
+            for kind, link in state.links.items()
+            if link.is_silent(servers, now)
+        }
+        if not silent:
+            state.silent_since = None
+            return
+        if state.silent_since is None:
+            state.silent_since = now
+        if now - state.silent_since < CONFIRM_S:
+            return
+        state.silent_since = None
+        for kind, link in silent.items():
             silence = link.measure_silence(now)
             log_event(
                 320,
--- a/tests/reachability/test_reachability.py
+++ b/tests/reachability/test_reachability.py
@@ -82,6 +82,17 @@
         self.timers.step(5.0)
         self.assertFalse(self.links.is_lost("a"))
 
+    # After a pause of the process all answers were late, and the links counted as lost.
+    def test_pause_of_the_process_is_no_lost_link(self):
+        for server in SERVERS:
+            self.links.begin("answer", server)
+        self.timers.step(3.0)
+        self.assertFalse(self.links.is_lost("a"))
+        for server in SERVERS:
+            self.links.succeed("answer", server)
+        self.timers.step(0.1)
+        self.assertFalse(self.links.is_lost("a"))
+
     def test_exchange_that_was_given_up_soon_tells_nothing(self):
         for server in GROUPS["a"]:
             self.links.begin("connection", server)
@@ -124,6 +135,7 @@
                 self.links.fail("connection", server)
             self.links.succeed("answer", "b0")
             self.timers.step(STEP_S)
+            self.links.is_lost("a")
         self.assertTrue(self.links.is_lost("a"))
         for _ in range(40):
             for server in GROUPS["a"]:
