--- a/tests/proxying/test_peer_forwarder.py
+++ b/tests/proxying/test_peer_forwarder.py
@@ -8,6 +8,7 @@
 
 from geraniumbend.errors import RefusedError, UnavailableError
 from geraniumbend.proxying import (
+    CallerLostError,
     ForwardPeer,
     ForwardSession,
     PeerForwarder,
@@ -187,6 +188,18 @@
         self.assertEqual(raised.exception.run, "not_run")
         self.assertEqual(len(self.upstream.sent), 1)
 
+    # The rest of the body went to another gateway, and the caller was told "not run".
+    @unittest.expectedFailure
+    async def test_error_of_the_callers_body_ends_the_request(self):
+        for error in (RefusedError("too long", status=413), CallerLostError("gone")):
+            self.upstream.sent.clear()
+            for peer in self.peers.peers:
+                self.upstream.answers[peer.name] = error
+            with self.assertRaises(type(error)) as raised:
+                await self.fetch()
+            self.assertIs(raised.exception, error)
+            self.assertEqual(len(self.upstream.sent), 1)
+
     async def test_body_that_was_read_is_not_sent_to_another_gateway(self):
         for peer in self.peers.peers:
             self.upstream.answers[peer.name] = UpstreamError("refused", "not_run")
