--- a/src/geraniumbend/proxying/_peer_forwarder.py
+++ b/src/geraniumbend/proxying/_peer_forwarder.py
@@ -20,8 +20,10 @@
 RETRIED_ELSEWHERE = frozenset(
     ("link_lost", "stopping", "unverified_peer", "no_configuration")
 )
-# Gateways that a request is offered to at most.
+# Gateways that a request is sent to at most.
 MAX_PEERS = 3
+# Time after which no further gateway is asked for a session, in seconds.
+SEARCH_S = 0.6
 # Connections to one gateway at most.
 PEER_CONNECTIONS = 512
 # Time for which a gateway that has not taken a request is passed over, in seconds.
@@ -151,7 +153,9 @@
             If the caller's body ended with an error; the request is not sent again.
         """
         tried: set[str] = set()
-        while len(tried) < MAX_PEERS and self._timers.now() < context.deadline_s:
+        sent = 0
+        search_end_s = min(self._timers.now() + SEARCH_S, context.deadline_s)
+        while sent < MAX_PEERS and self._timers.now() < context.deadline_s:
             peer = self._choose(context.group, tried)
             if peer is None:
                 break
@@ -161,7 +165,10 @@
                 session = await self._peers.open_session(peer)
             except GeraniumbendError as error:
                 self._avoid(peer, str(error), context)
+                if self._timers.now() >= search_end_s:
+                    break
                 continue
+            sent += 1
             try:
                 response = await self._send(peer, session, context)
             except UpstreamError as error:
--- a/tests/proxying/test_peer_forwarder.py
+++ b/tests/proxying/test_peer_forwarder.py
@@ -15,26 +15,29 @@
     UpstreamError,
     build_peer_server,
 )
-from geraniumbend.proxying._peer_forwarder import AVOID_S, MAX_PEERS
+from geraniumbend.proxying._peer_forwarder import AVOID_S, MAX_PEERS, SEARCH_S
 from tests.fakes import StepTimers
 
 DOMAINS = ("a", "b", "c")
 
 
 class FakePeers:
-    def __init__(self, count):
+    def __init__(self, count, timers):
         self.peers = [
             ForwardPeer(f"g{n}", f"10.0.0.{n}:7000", DOMAINS[n % 3], 1)
             for n in range(count)
         ]
         self.cut_off = set()
         self.without_forwarding = set()
+        self.timers = timers
+        self.open_s = 0.0
         self.closed = []
 
     def list_peers(self, group):
         return [peer for peer in self.peers if peer.name not in self.cut_off]
 
     async def open_session(self, peer):
+        self.timers.step(self.open_s)
         if peer.name in self.without_forwarding:
             raise UnavailableError("unknown method")
         return ForwardSession(build_peer_server(peer, 7001), "token")
@@ -96,7 +99,7 @@
 class PeerForwarderTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.timers = StepTimers()
-        self.peers = FakePeers(12)
+        self.peers = FakePeers(12, self.timers)
         self.upstream = FakeUpstream()
         self.links = FakeLinks()
         self.counts = Counter()
@@ -156,6 +159,21 @@
             await self.fetch()
         self.assertEqual(set(self.upstream.sent), {"g9"})
 
+    # Gateways that open no session used up the offers of a request; the draw decided.
+    async def test_one_gateway_of_the_new_build_is_found_among_many_of_the_old(self):
+        names = {peer.name for peer in self.peers.peers}
+        self.peers.without_forwarding = names - {"g9"}
+        await self.fetch()
+        self.assertEqual(self.upstream.sent, ["g9"])
+
+    async def test_search_for_a_gateway_with_a_session_ends_in_time(self):
+        self.peers.without_forwarding = {peer.name for peer in self.peers.peers}
+        self.peers.open_s = 0.2
+        started_s = self.timers.now()
+        with self.assertRaises(RefusedError):
+            await self.fetch()
+        self.assertLess(self.timers.now() - started_s, SEARCH_S + 0.2 + 0.01)
+
     # It may have used up the attempts of its rule, or have run an order.
     async def test_request_that_may_have_run_is_not_sent_to_another_gateway(self):
         for peer in self.peers.peers:
