--- a/src/geraniumbend/proxying/_peer_forwarder.py
+++ b/src/geraniumbend/proxying/_peer_forwarder.py
@@ -35,7 +35,8 @@
     216,
     "forwarding_failed",
     "info",
-    "A gateway did not answer a forwarded request; run tells whether it may have run.",
+    "A gateway did not take or answer a forwarded request; run tells whether it may "
+    "have run.",
 )
 
 
