--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -494,7 +494,7 @@
             self.record.write("run", instance=self.id, request=request_id)
             if self.crash_on is not None and self.crash_on in target:
                 self.record.write("crash", instance=self.id, request=request_id)
-                asyncio.create_task(self.on_crash(self))
+                self.on_crash(self)
                 await asyncio.sleep(60)
             work = self.work_s(target) if callable(self.work_s) else self.work_s
             work = min(work, max(0.0, deadline - time.monotonic()))
