--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -588,6 +588,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.write("case", trouble=int(trouble))
+    # So that a case that is ended from outside ends its processes as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(asyncio.wait_for(play(record, trouble), 115))
     except BaseException as error:
