Acknowledge a departure once a majority of control hosts has it on disk

Cause: the acknowledgement waited for the gateways only. The file of server records is written every 0.2 s, so it still had the server as live; and a host that had the departure dropped it if a faster host had restored an older file.

Change: departures are appended to a file of their own, and a majority of the voters must have synced them before the acknowledgement (DepartureLog, DepartureCopies). Stored departures are merged by version at a start, whoever started first.

Conclusion: what an instance was told holds over the end of all processes. Hosts of an earlier build count as a copy, so until an upgrade is complete the guarantee is theirs.

--- a/src/geraniumbend/membership/__init__.py
+++ b/src/geraniumbend/membership/__init__.py
@@ -4,6 +4,8 @@
 
 from geraniumbend.membership._announcement_api import AnnouncementApi
 from geraniumbend.membership._announcement_service import AnnouncementService
+from geraniumbend.membership._departure_copies import DepartureCopies
+from geraniumbend.membership._departure_log import DepartureLog
 from geraniumbend.membership._gateway_shares import GatewayShares
 from geraniumbend.membership._members import Member
 from geraniumbend.membership._membership import Membership, MembershipOptions
@@ -17,6 +19,8 @@
     "Announcement",
     "AnnouncementApi",
     "AnnouncementService",
+    "DepartureCopies",
+    "DepartureLog",
     "ServerRecordsFile",
     "AnnouncedLoad",
     "Member",
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -23,7 +23,12 @@
     RecordTable,
 )
 from geraniumbend.membership._server_directory import ServerDirectory
-from geraniumbend.membership._server_records import LIVE, AnnouncedLoad, Announcement
+from geraniumbend.membership._server_records import (
+    LIVE,
+    AnnouncedLoad,
+    Announcement,
+    is_departure,
+)
 from geraniumbend.membership._synchronisation import Synchronisation
 from geraniumbend.traffic import ignore_traffic
 
@@ -373,8 +378,27 @@
         """Return all backend server records, also expired and deregistered ones."""
         return [entry.record for entry in self._table.entries(SERVER)]
 
+    def find_server_record(self, server_id: str) -> Record | None:
+        """Return the record of a backend server as it is sent to other nodes."""
+        entry = self._table.get(SERVER, "", server_id)
+        if entry is None:
+            return None
+        return entry.record._replace(lifetime_s=self._lifetime(entry.record))
+
+    def list_departures(self) -> list[Record]:
+        """Return the records of backend servers that drain, have left or expired."""
+        return [record for record in self.server_records() if is_departure(record)]
+
+    def merge_server_records(self, records: list[Record]) -> None:
+        """Merge records of backend servers that a peer sent."""
+        for record in records:
+            if record.kind == SERVER:
+                self._merge("", record)
+
     def restore_servers(self, records: list[Record]) -> None:
-        """Restore stored records of backend servers if none are known.
+        """Restore stored records of backend servers.
+
+        If a peer has sent servers, only departures that it does not know are restored.
 
         Parameters
         ----------
@@ -382,11 +406,20 @@
             Records of an earlier process on this host; they are valid until their
             leases end or the servers announce themselves.
         """
-        if not records or self._table.entries(SERVER):
-            return
+        newest: dict[str, Record] = {}
         for record in records:
+            known = newest.get(record.key)
+            if known is None or record.order > known.order:
+                newest[record.key] = record
+        if self._table.entries(SERVER):
+            for record in newest.values():
+                if is_departure(record):
+                    self._server_directory.restore_departure(record)
+            return
+        for record in newest.values():
             self._server_directory.restore(record)
-        log_event(819, servers=len(records))
+        if newest:
+            log_event(819, servers=len(newest))
 
     def loads(self) -> dict[str, AnnouncedLoad]:
         """Return the last announced load by server id."""
@@ -496,10 +529,9 @@
         list of str
             Names of the gateways that acknowledged, sorted.
         """
-        entry = self._table.get(SERVER, "", server_id)
-        if entry is None:
+        record = self.find_server_record(server_id)
+        if record is None:
             return []
-        record = entry.record._replace(lifetime_s=self._lifetime(entry.record))
         peers = [m for m in self._live_gateways() if m.name != self.name]
         dead = [m for m in self.known_members() if m.state == "dead"]
         presumed_dead = [member for member in dead if member.role == "gateway"]
--- a/src/geraniumbend/membership/_server_directory.py
+++ b/src/geraniumbend/membership/_server_directory.py
@@ -273,6 +273,19 @@
             self._store(record, now + TOMBSTONE_S)
         self._gossip.enqueue(record)
 
+    def restore_departure(self, record: Record) -> None:
+        """Use a stored departure unless a peer knows as new a record of the server.
+
+        A draining server that no peer knows gets no requests, so it is left out.
+        """
+        entry = self._table.get(SERVER, "", record.key)
+        if entry is None:
+            is_unknown = record.state == DEREGISTERED
+        else:
+            is_unknown = record.order[:3] > entry.record.order[:3]
+        if is_unknown:
+            self.restore(record)
+
     def lifetime(self, record: Record) -> float:
         """Return the remaining lifetime to send with a record, in seconds."""
         entry = self._table.get(SERVER, "", record.key)
--- a/src/geraniumbend/membership/_server_records.py
+++ b/src/geraniumbend/membership/_server_records.py
@@ -108,6 +108,11 @@
     return Announcement(server, None, value.lease_ms / 1000)
 
 
+def is_departure(record: Record) -> bool:
+    """Return whether a backend server that drains, has left or expired is recorded."""
+    return record.state != LIVE or decode_server(record).server.draining
+
+
 def build_server_record(
     announcement: Announcement, minor: int, state: int, origin: str
 ) -> Record:
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from geraniumbend.adapters.disk import LocalDisk
 from geraniumbend.adapters.metrics_listener import MetricsListener
 from geraniumbend.adapters.rpc import RpcClients, RpcServer
 from geraniumbend.configuration import ConfigurationService, ConfigurationStore
@@ -12,7 +13,13 @@
 from geraniumbend.interfaces import ControlServices, find_interface
 from geraniumbend.keys import KeyRing
 from geraniumbend.logs import declare_event, log_event
-from geraniumbend.membership import AnnouncementService, Membership, ServerRecordsFile
+from geraniumbend.membership import (
+    AnnouncementService,
+    DepartureCopies,
+    DepartureLog,
+    Membership,
+    ServerRecordsFile,
+)
 from geraniumbend.metrics import MetricSet
 from geraniumbend.orders import OrderJournal, OrderService, OrderShard
 from geraniumbend.quarantine import Quarantine
@@ -95,6 +102,20 @@
         self._directory = ServerRecordsFile(
             settings.control.data_folder, self._membership.server_records, timers
         )
+        self._disk = LocalDisk()
+        self._departure_log = DepartureLog(
+            self._disk,
+            settings.control.data_folder,
+            self._membership.list_departures,
+        )
+        self._departures = DepartureCopies(
+            self._address,
+            self._departure_log,
+            self._membership,
+            self._clients,
+            self._list_voters,
+            timers,
+        )
         self._member_reconciler = MemberReconciler(
             self._replicas,
             self._address,
@@ -110,8 +131,16 @@
             None if listen_metrics is None else MetricsListener(listen_metrics, self)
         )
         self._bootstrap_timer: Subscription | None = None
-        parts: list[Any] = [*self._replicas, self._membership, self._service]
-        for part in [*parts, self._orders, self._log_members, self._member_reconciler]:
+        parts: list[Any] = [
+            *self._replicas,
+            self._membership,
+            self._departures,
+            self._service,
+            self._orders,
+            self._log_members,
+            self._member_reconciler,
+        ]
+        for part in parts:
             part.register(self._rpc)
 
     @classmethod
@@ -125,8 +154,10 @@
         for replica in self._replicas:
             await replica.start()
         await self._membership.start()
-        self._membership.restore_servers(self._directory.load())
+        departures = await self._departure_log.load()
+        self._membership.restore_servers([*self._directory.load(), *departures])
         self._directory.start()
+        self._departures.start()
         self._service.start()
         self._orders.start()
         if self._settings.control.founders:
@@ -152,6 +183,7 @@
         await self._membership.stop()
         await self._clients.close()
         await self._rpc.stop()
+        self._disk.close()
 
     def update_settings(self, settings: Settings) -> None:
         """Apply the settings that may change at run time: the seed peers."""
@@ -261,13 +293,18 @@
 
             return OperatorsApi(settings.control, self._service, self, self._timers)
         announcements = AnnouncementService(
-            self._membership, self._service.has_majority_contact
+            self._membership, self._departures, self._service.has_majority_contact
         )
         services = ControlServices(
             self._service, announcements, settings.peer.announcement_lease_s
         )
         return create(settings.control.operators, services)
 
+    def _list_voters(self) -> list[str]:
+        """Return the peer addresses of the voters, including this host."""
+        members = self._configuration_log.members()
+        return [m.address for m in members if m.role == "voter"]
+
     def _list_control_hosts(self) -> list[str]:
         """Return the peer addresses of the other control hosts that are live."""
         members = self._membership.members()
--- a/tests/membership/test_announcement_service.py
+++ b/tests/membership/test_announcement_service.py
@@ -8,13 +8,18 @@
 from tests.membership.network import Cluster, announcement
 
 
+class _StoredAtOnce:
+    async def store(self, server_id, timeout_s):
+        return True
+
+
 class AnnouncementServiceTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.cluster = await Cluster(6).start()
         self.addAsyncCleanup(self.cluster.stop)
         self.has_majority_contact = True
         self.service = AnnouncementService(
-            self.cluster.nodes["g0"], lambda: self.has_majority_contact
+            self.cluster.nodes["g0"], _StoredAtOnce(), lambda: self.has_majority_contact
         )
 
     async def finish(self, awaitable):
