Store a deregistration at a gateway on disks before it is acknowledged

Change: the gateway has a control host store the departure on a majority of the voters' disks, and answers 503 with the remedy if that fails. A draining PUT waits for nothing: the server announces itself again after a third of its lease.

test_departure_is_acknowledged_once_control_hosts_have_stored_it and test_gateway_has_control_hosts_store_a_departure guard it; without the call the first gets 200 in place of 503. The calls of AnnouncementApi.handle in tests are awaited now, their checks are unchanged.

--- a/src/geraniumbend/adapters/_announce_listener.py
+++ b/src/geraniumbend/adapters/_announce_listener.py
@@ -32,7 +32,7 @@
 class Announcements(Protocol):
     """Handles requests of backend servers; see `membership.AnnouncementApi`."""
 
-    def handle(
+    async def handle(
         self,
         method: str,
         path: str,
@@ -112,7 +112,7 @@
     async def _dispatch(self, request: BaseRequest) -> Response:
         method, path = request.method, request.path
         if path.startswith(SERVERS_PATH):
-            status, document = self._announcements.handle(
+            status, document = await self._announcements.handle(
                 method,
                 path,
                 await read_body(request, BODY_LIMIT_BYTES),
--- a/src/geraniumbend/membership/__init__.py
+++ b/src/geraniumbend/membership/__init__.py
@@ -6,6 +6,7 @@
 from geraniumbend.membership._announcement_service import AnnouncementService
 from geraniumbend.membership._departure_copies import DepartureCopies
 from geraniumbend.membership._departure_log import DepartureLog
+from geraniumbend.membership._departure_sender import DepartureSender
 from geraniumbend.membership._gateway_shares import GatewayShares
 from geraniumbend.membership._members import Member
 from geraniumbend.membership._membership import Membership, MembershipOptions
@@ -21,6 +22,7 @@
     "AnnouncementService",
     "DepartureCopies",
     "DepartureLog",
+    "DepartureSender",
     "ServerRecordsFile",
     "AnnouncedLoad",
     "Member",
--- a/src/geraniumbend/membership/_announcement_api.py
+++ b/src/geraniumbend/membership/_announcement_api.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any, Protocol
 
 import msgspec
 from msgspec import Meta
@@ -11,6 +11,7 @@
     ConflictError,
     GeraniumbendError,
     ProtocolError,
+    UnavailableError,
 )
 from geraniumbend.membership._server_records import MAX_LEASE_S, Announcement
 from geraniumbend.model import BackendServer
@@ -25,6 +26,7 @@
 RENEWALS_PER_LEASE = 3
 MAX_LABELS = 32
 MAX_BODY_BYTES = 8_192
+STORE_TIMEOUT_S = 0.6
 
 Name = Annotated[str, Meta(min_length=1, max_length=120)]
 # One record with its labels has to fit into a datagram.
@@ -48,6 +50,14 @@
     lease_s: Annotated[float, Meta(ge=1, le=MAX_LEASE_S)] = 10.0
 
 
+class DepartureStore(Protocol):
+    """Stores departures so that they outlive all processes."""
+
+    async def store(self, server_id: str, timeout_s: float) -> bool:
+        """Return whether a majority of the control hosts has stored the record."""
+        ...
+
+
 class AnnouncementApi:
     """HTTP API of the announce listener, which backend servers call.
 
@@ -55,6 +65,8 @@
     ----------
     membership : Membership
         Records the announcements.
+    departures : DepartureStore
+        Stores the records of servers that leave.
     authorize : callable or None, default=None
         Checks the ``Authorization`` header, or None when it is absent; raises
         AuthenticationError.
@@ -63,12 +75,14 @@
     def __init__(
         self,
         membership: Membership,
+        departures: DepartureStore,
         authorize: Callable[[str | None], None] | None = None,
     ) -> None:
         self._membership = membership
+        self._departures = departures
         self._authorize = authorize
 
-    def handle(
+    async def handle(
         self,
         method: str,
         path: str,
@@ -100,13 +114,13 @@
         try:
             if self._authorize is not None:
                 self._authorize(authorization)
-            return self._dispatch(method, path, body, query or {})
+            return await self._dispatch(method, path, body, query or {})
         except AuthenticationError as error:
             return 401, _describe(error)
         except GeraniumbendError as error:
             return error.http_status, _describe(error)
 
-    def _dispatch(
+    async def _dispatch(
         self, method: str, path: str, body: bytes, query: Mapping[str, str]
     ) -> tuple[int, dict[str, Any]]:
         rest = path.removeprefix(PREFIX)
@@ -120,7 +134,7 @@
         if method == "PUT":
             return self.announce(server_id, body)
         if method == "DELETE":
-            return self.deregister(server_id, query.get("incarnation", ""))
+            return await self.deregister(server_id, query.get("incarnation", ""))
         return 405, _not_allowed(method, "PUT or DELETE")
 
     def announce(self, server_id: str, body: bytes) -> tuple[int, dict[str, Any]]:
@@ -169,7 +183,7 @@
             "renew_after_s": document.lease_s / RENEWALS_PER_LEASE,
         }
 
-    def deregister(
+    async def deregister(
         self, server_id: str, incarnation: str
     ) -> tuple[int, dict[str, Any]]:
         """Deregister a backend server.
@@ -192,6 +206,8 @@
             If name or incarnation is invalid.
         ConflictError
             If a newer incarnation is known.
+        UnavailableError
+            If too few control hosts stored the change.
         """
         _check_server_id(server_id)
         if incarnation and not (incarnation.isascii() and incarnation.isdigit()):
@@ -203,6 +219,12 @@
         if number >= 1 << 62:
             raise ProtocolError("incarnation is too large", "use less than 2**62")
         if self._membership.deregister(server_id, number):
+            # A draining server goes on announcing itself, one that has left does not.
+            if not await self._departures.store(server_id, STORE_TIMEOUT_S):
+                raise UnavailableError(
+                    f"too few control hosts stored that {server_id!r} has left",
+                    "send the request again; the gateways already respect it",
+                )
             return 200, {"server_id": server_id, "deregistered": True}
         return 404, {
             "error": "UnknownServer",
--- a/src/geraniumbend/membership/_departure_copies.py
+++ b/src/geraniumbend/membership/_departure_copies.py
@@ -15,7 +15,11 @@
     from geraniumbend.ports import RpcCaller
     from geraniumbend.timers import TimerService
 
+# Stores departures on the disk of the called host.
 STORE_METHOD = "membership.store_departures"
+# Stores departures on a majority of the voters' disks.
+COPY_METHOD = "membership.copy_departures"
+COPY_TIMEOUT_S = 0.5
 # Number of departures whose copies are remembered, so that the repeated announcements
 # of a draining server cost no further sync.
 MAX_REMEMBERED = 4_096
@@ -63,8 +67,9 @@
         self._copied: dict[str, tuple[int, int, int, str]] = {}
 
     def register(self, server: Any) -> None:
-        """Register the RPC method with which other control hosts store departures."""
+        """Register the RPC methods with which other processes store departures."""
         server.handle(STORE_METHOD)(self._handle_store)
+        server.handle(COPY_METHOD)(self._handle_copy)
 
     def start(self) -> None:
         """Store departures of other hosts from now on.
@@ -131,12 +136,8 @@
             if address == self._address:
                 await self._log.append(record)
             else:
-                batch = load_structs("membership").RecordBatch(
-                    records=[pack_record(record)]
-                )
-                await self._clients.call(
-                    address, STORE_METHOD, encode(batch), timeout_s
-                )
+                body = pack_departure(record)
+                await self._clients.call(address, STORE_METHOD, body, timeout_s)
         except ProtocolError:
             # A host of an earlier release lacks the method. It writes all records to
             # its disk periodically and cannot tell when.
@@ -152,6 +153,20 @@
             del self._copied[next(iter(self._copied))]
 
     async def _handle_store(self, body: bytes) -> bytes:
+        records = self._receive(body)
+        await asyncio.gather(*(self._log.append(record) for record in records))
+        return b""
+
+    async def _handle_copy(self, body: bytes) -> bytes:
+        for record in self._receive(body):
+            if not await self.store(record.key, COPY_TIMEOUT_S):
+                raise UnavailableError(
+                    f"too few control hosts stored the departure of {record.key!r}",
+                    "send it again and check the disks of the control hosts",
+                )
+        return b""
+
+    def _receive(self, body: bytes) -> list[Record]:
         if not self._serving:
             raise UnavailableError(
                 "this host is starting", "store the departure on another host"
@@ -159,5 +174,10 @@
         batch = decode(load_structs("membership").RecordBatch, body)
         records = unpack_records(batch.records)
         self._membership.merge_server_records(records)
-        await asyncio.gather(*(self._log.append(record) for record in records))
-        return b""
+        return records
+
+
+def pack_departure(record: Record) -> bytes:
+    """Return the body of a call that stores a departure."""
+    structs = load_structs("membership")
+    return encode(structs.RecordBatch(records=[pack_record(record)]))
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -16,6 +16,7 @@
 from geraniumbend.limits import ServerLimits
 from geraniumbend.membership import (
     AnnouncementApi,
+    DepartureSender,
     GatewayShares,
     Membership,
     RateTotals,
@@ -191,7 +192,12 @@
         self._announce_listener = AnnounceListener(
             gateway.announce,
             self,
-            AnnouncementApi(self._membership),
+            AnnouncementApi(
+                self._membership,
+                DepartureSender(
+                    self._membership, self._clients, self._list_control_hosts
+                ),
+            ),
             gateway.ready_path,
         )
         self._load_probe = LoadProbe(self._upstream, timers, dialect, self._limits)
--- a/tests/adapters/test_announce_listener.py
+++ b/tests/adapters/test_announce_listener.py
@@ -31,6 +31,11 @@
         return True
 
 
+class FakeDepartures:
+    async def store(self, server_id, timeout_s):
+        return True
+
+
 class FakeSource:
     def __init__(self):
         self.ready = True
@@ -49,7 +54,7 @@
     async def asyncSetUp(self):
         self.source = FakeSource()
         self.membership = FakeMembership()
-        announcements = AnnouncementApi(self.membership)
+        announcements = AnnouncementApi(self.membership, FakeDepartures())
         self.listener = AnnounceListener(ListenSettings(), self.source, announcements)
         await self.listener.start()
         self.session = aiohttp.ClientSession(f"http://127.0.0.1:{self.listener.port}")
--- a/tests/membership/test_announcement_api.py
+++ b/tests/membership/test_announcement_api.py
@@ -15,26 +15,47 @@
 BODY = {"host": "10.0.0.9", "port": 80, "incarnation": 5, "labels": {"app": "a"}}
 
 
+class FakeDepartures:
+    def __init__(self):
+        self.stored = []
+        self.accepts = True
+
+    async def store(self, server_id, timeout_s):
+        self.stored.append(server_id)
+        return self.accepts
+
+
+def complete(coroutine):
+    """Return the result of a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("the coroutine waits")
+
+
 class AnnouncementApiTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         cluster = await Cluster(1).start(0.1)
         self.addAsyncCleanup(cluster.stop)
         self.node = cluster.nodes["g0"]
-        self.api = AnnouncementApi(self.node)
+        self.departures = FakeDepartures()
+        self.api = AnnouncementApi(self.node, self.departures)
 
-    def put(self, path=PATH, **changes):
-        return self.api.handle("PUT", path, json.dumps({**BODY, **changes}).encode())
+    async def put(self, path=PATH, **changes):
+        body = json.dumps({**BODY, **changes}).encode()
+        return await self.api.handle("PUT", path, body)
 
     async def test_announcement_states_when_to_renew(self):
-        status, document = self.put(in_flight=3)
+        status, document = await self.put(in_flight=3)
         self.assertEqual((status, document["lease_s"]), (200, 10.0))
         self.assertLess(document["renew_after_s"], 4)
-        status, document = self.api.handle("GET", "/v1/backend-servers")
+        status, document = await self.api.handle("GET", "/v1/backend-servers")
         self.assertEqual(document["servers"][0]["in_flight"], 3)
 
     async def test_earlier_incarnation_is_refused_with_the_known_one(self):
-        self.put()
-        status, document = self.put(incarnation=4)
+        await self.put()
+        status, document = await self.put(incarnation=4)
         self.assertEqual((status, document["known_incarnation"]), (409, 5))
         self.assertTrue(document["remedy"])
 
@@ -48,28 +69,39 @@
             "labels": {"k" * 60 + str(i): "v" * 60 for i in range(10)},
         }
         for member, value in invalid.items():
-            status, document = self.put(**{member: value})
+            status, document = await self.put(**{member: value})
             self.assertEqual(status, 400, member)
             self.assertIn(member, document["message"])
         self.assertEqual(self.node.servers(), {})
 
     async def test_deregistration_of_an_unknown_server_needs_its_incarnation(self):
-        self.assertEqual(self.api.handle("DELETE", PATH)[0], 404)
-        status, _ = self.api.handle("DELETE", PATH, query={"incarnation": "5"})
+        self.assertEqual((await self.api.handle("DELETE", PATH))[0], 404)
+        status, _ = await self.api.handle("DELETE", PATH, query={"incarnation": "5"})
         self.assertEqual(status, 200)
-        self.assertEqual(self.put()[0], 409)
-        self.assertEqual(self.put(incarnation=6)[0], 200)
+        self.assertEqual((await self.put())[0], 409)
+        self.assertEqual((await self.put(incarnation=6))[0], 200)
+
+    async def test_departure_is_acknowledged_once_control_hosts_have_stored_it(self):
+        """Guards against departures that end with the processes which knew them."""
+        await self.put()
+        self.assertEqual(self.departures.stored, [])
+        self.departures.accepts = False
+        self.assertEqual((await self.put(draining=True))[0], 200)
+        self.assertEqual((await self.api.handle("DELETE", PATH))[0], 503)
+        self.departures.accepts = True
+        self.assertEqual((await self.api.handle("DELETE", PATH))[0], 200)
+        self.assertEqual(self.departures.stored, ["s1", "s1"])
 
     async def test_request_without_valid_token_changes_nothing(self):
         def authorize(header):
             if header != "Bearer good":
                 raise AuthenticationError("no token", "send one")
 
-        api = AnnouncementApi(self.node, authorize)
+        api = AnnouncementApi(self.node, self.departures, authorize)
         body = json.dumps(BODY).encode()
-        self.assertEqual(api.handle("PUT", PATH, body)[0], 401)
+        self.assertEqual((await api.handle("PUT", PATH, body))[0], 401)
         self.assertEqual(self.node.servers(), {})
-        status, _ = api.handle("PUT", PATH, body, authorization="Bearer good")
+        status, _ = await api.handle("PUT", PATH, body, authorization="Bearer good")
         self.assertEqual(status, 200)
 
     async def test_any_request_gets_a_status_and_a_remedy(self):
@@ -92,7 +124,7 @@
         def check(method, name, body, incarnation):
             path = f"/v1/backend-servers/{name}"
             query = {"incarnation": incarnation}
-            status, document = self.api.handle(method, path, body, query)
+            status, document = complete(self.api.handle(method, path, body, query))
             self.assertIn(status, (200, 400, 404, 405, 409))
             if status != 200:
                 self.assertTrue(document["remedy"])
--- a/tests/membership/test_departures.py
+++ b/tests/membership/test_departures.py
@@ -9,6 +9,7 @@
     AnnouncementService,
     DepartureCopies,
     DepartureLog,
+    DepartureSender,
 )
 from geraniumbend.membership._departure_copies import STORE_METHOD
 from geraniumbend.membership._departure_log import MIN_COMPACT_BYTES
@@ -115,6 +116,36 @@
         await self.kill_and_restart_all()
         self.assertEqual(self.cluster.nodes_that_know("s1"), [])
 
+    async def test_gateway_has_control_hosts_store_a_departure(self):
+        await self.announce_and_save()
+        cluster = self.cluster
+        addresses = [cluster.address(name) for name in cluster.names]
+        cluster.names.append("g3")
+        gateway = await cluster.boot("g3")
+        cluster.names.pop()
+        await cluster.timers.advance(1.0)
+        # The first control host is gone, the others form a majority.
+        cluster.cut(["g0"], ["g1", "g2", "g3"])
+        caller = FakeRpcCaller(cluster.network, cluster.address("g3"))
+        sender = DepartureSender(gateway, caller, lambda: addresses)
+        gateway.deregister("s1")
+        self.assertTrue(await self.finish(sender.store("s1", 0.6)))
+        cluster.kill("g3")
+        cluster.heal()
+        await self.kill_and_restart_all()
+        self.assertEqual(cluster.nodes_that_know("s1"), [])
+
+    async def test_departure_that_no_majority_stores_is_refused_to_a_gateway(self):
+        await self.announce_and_save()
+        addresses = [self.cluster.address(name) for name in self.cluster.names]
+        for name in ("g0", "g2"):
+            self.disks[name].fail_at = 0
+        node = self.cluster.nodes["g1"]
+        caller = FakeRpcCaller(self.cluster.network, addresses[1])
+        sender = DepartureSender(node, caller, lambda: addresses)
+        node.deregister("s1")
+        self.assertFalse(await self.finish(sender.store("s1", 0.6)))
+
     async def test_departure_on_one_disk_only_is_not_acknowledged(self):
         await self.announce_and_save()
         for name in ("g0", "g2"):
--- a/tests/roles/test_gateway_tls.py
+++ b/tests/roles/test_gateway_tls.py
@@ -55,7 +55,9 @@
             await listener.stop(0.1)
 
     async def test_announce_listener(self):
-        listener = AnnounceListener(self.listen, FakeSource(), AnnouncementApi(None))
+        listener = AnnounceListener(
+            self.listen, FakeSource(), AnnouncementApi(None, None)
+        )
         await listener.start()
         try:
             await self.check(listener.port, 200)
