Finish open requests until shortly before the end of the grace period

Cause: a fifth of the grace period was kept for leaving the cluster, which takes a constant time.

Change: half a second is kept, at most a twelfth of the grace period. The end is counted from the signal: a late wake-up and the wait for the backlog, up to 1 s, were added to it. A request is checked against the end once callers have been moved, at most halfway.

The calls of PlannedStop.begin in tests name the old moment, half of the period.

--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -175,7 +175,7 @@
         Parameters
         ----------
         limit_s : float
-            Maximum wait for requests in flight, in seconds.
+            Maximum time for the backlog and for requests in flight, in seconds.
 
         Returns
         -------
@@ -183,11 +183,11 @@
             Number of requests that were cut off.
         """
         self.begin_drain()
-        if self._asyncio_server is not None:
-            await self._accept_backlog(self._asyncio_server)
-            self._asyncio_server.close()
         loop = asyncio.get_running_loop()
         end = loop.time() + limit_s
+        if self._asyncio_server is not None:
+            await self._accept_backlog(self._asyncio_server, end)
+            self._asyncio_server.close()
         while loop.time() < end:
             for protocol in self._protocols():
                 protocol.close_if_idle()
@@ -201,7 +201,7 @@
             protocol.force_close()
         return cut_off
 
-    async def _accept_backlog(self, server: asyncio.Server) -> None:
+    async def _accept_backlog(self, server: asyncio.Server, limit_s: float) -> None:
         """Wait until the connections that the kernel has completed are accepted.
 
         Closing the listening socket would reset them.
@@ -210,7 +210,7 @@
         for listening in server.sockets:
             poll.register(listening.fileno(), select.POLLIN)
         loop = asyncio.get_running_loop()
-        end = loop.time() + MAX_BACKLOG_WAIT_S
+        end = min(loop.time() + MAX_BACKLOG_WAIT_S, limit_s)
         while poll.poll(0) and loop.time() < end:
             await asyncio.sleep(BACKLOG_POLL_S)
 
--- a/src/geraniumbend/platform/_settings.py
+++ b/src/geraniumbend/platform/_settings.py
@@ -20,9 +20,12 @@
 
 INTERFACE = "platform"
 KEY_VARIABLE = "GERANIUMBEND_CLUSTER_KEY"
-# Fraction of the grace period that is spent on draining requests; the remainder is for
-# leaving the cluster. The platform kills the process after the grace period.
-STOP_SHARE = 0.8
+# Time in seconds that is kept for leaving the cluster after the last request. The
+# platform kills the process after the grace period.
+LEAVE_S = 0.5
+# Fraction of the grace period in which open requests are finished at least. The
+# platform expects their answers until five sixths of it have passed.
+MIN_STOP_SHARE = 11 / 12
 # Time in seconds until the platform's load balancer stops sending requests to a host
 # that is not ready: it checks once a second and removes a host after two failed checks.
 BALANCER_DETECTION_S = 2.6
@@ -150,7 +153,8 @@
 
 def _read_gateway(given: _PlatformSettings) -> GatewaySettings:
     bounds = given.bounds
-    stop_s = STOP_SHARE * parse_duration(bounds.grace)
+    grace_s = parse_duration(bounds.grace)
+    stop_s = max(grace_s - LEAVE_S, MIN_STOP_SHARE * grace_s)
     detection_s = min(BALANCER_DETECTION_S, stop_s / 2)
     return GatewaySettings(
         caller=_read_address(given.listen.front),
--- a/src/geraniumbend/proxying/_planned_stop.py
+++ b/src/geraniumbend/proxying/_planned_stop.py
@@ -8,26 +8,27 @@
 class PlannedStop:
     """Time from the beginning of a planned stop until open requests are cut off.
 
-    In the first half all requests are taken, since most callers have not been moved to
-    other gateways yet. In the second half only those are taken whose deadline comes
-    before the end.
+    At first all requests are taken, since callers have not been moved to other gateways
+    yet. Later only those are taken whose deadline comes before the end.
     """
 
     def __init__(self) -> None:
-        self._half_s = math.inf
+        self._callers_moved_s = math.inf
         self._end_s = math.inf
 
-    def begin(self, now_s: float, duration_s: float) -> None:
+    def begin(self, now_s: float, move_s: float, duration_s: float) -> None:
         """Set the period.
 
         Parameters
         ----------
         now_s : float
             Reading of the timer service's clock.
+        move_s : float
+            Time until callers have been moved to other gateways, in seconds.
         duration_s : float
             Time until open requests are cut off, in seconds.
         """
-        self._half_s = now_s + duration_s / 2
+        self._callers_moved_s = now_s + min(move_s, duration_s / 2)
         self._end_s = now_s + duration_s
 
     def check(self, now_s: float, deadline_s: float) -> None:
@@ -45,7 +46,7 @@
         RefusedError
             If the deadline comes after the end; the request was not run.
         """
-        if now_s >= self._half_s and deadline_s > self._end_s:
+        if now_s >= self._callers_moved_s and deadline_s > self._end_s:
             raise RefusedError(
                 "this gateway stops before the deadline of the request",
                 "send it again at once; another gateway takes it",
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -259,13 +259,13 @@
             self._start_timer.cancel()
         self._caller_listener.begin_drain()
         self._forward_listener.begin_drain()
-        gateway = self._settings
-        self._planned_stop.begin(
-            self._timers.now(), gateway.drain_delay_s + gateway.drain_limit_s
-        )
-        await self._timers.sleep(self._settings.drain_delay_s)
-        limit_s = self._settings.drain_limit_s
-        end_s = self._timers.now() + limit_s
+        delay_s, limit_s = self._settings.drain_delay_s, self._settings.drain_limit_s
+        begin_s = self._timers.now()
+        end_s = begin_s + delay_s + limit_s
+        self._planned_stop.begin(begin_s, delay_s, delay_s + limit_s)
+        await self._timers.sleep(delay_s)
+        # A sleep that ends late shortens the limit; the supervisor kills on time.
+        limit_s = max(0.0, end_s - self._timers.now())
         await asyncio.gather(
             self._caller_listener.stop(limit_s), self._forward_listener.stop(limit_s)
         )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -61,6 +61,17 @@
         self.assertLessEqual(gateway.probe_limit, 60)
         self.assertFalse(settings.control.may_found)
 
+    def test_open_requests_may_take_until_the_last_sixth_of_the_grace_period(self):
+        """Guards against a planned stop that cuts off requests which may still end."""
+        for grace_s in (2, 6, 30):
+            bounds = GIVEN["bounds"] | {"grace": f"{grace_s}s"}
+            given = GIVEN | {"bounds": bounds, "data-dir": None}
+            gateway = read_settings(json.dumps(given)).gateway
+            end_s = gateway.drain_delay_s + gateway.drain_limit_s
+            self.assertGreater(end_s, 5 / 6 * grace_s)
+            # A twelfth or half a second remains for leaving the cluster.
+            self.assertLessEqual(end_s, grace_s - min(0.5, grace_s / 12) + 1e-9)
+
     def test_missing_or_malformed_fields_are_settings_errors(self):
         for field, value in (("ip", None), ("internal-ports", 7540), ("seeds", "x")):
             with self.assertRaises(SettingsError):
--- a/tests/proxying/_data_path.py
+++ b/tests/proxying/_data_path.py
@@ -186,7 +186,7 @@
 
     async def stop(self, limit_s):
         """Stop as the gateway does; return the number of requests cut off."""
-        self.planned_stop.begin(LoopTimers().now(), limit_s)
+        self.planned_stop.begin(LoopTimers().now(), limit_s / 2, limit_s)
         return await self.listener.stop(limit_s)
 
     async def connect(self):
--- a/tests/proxying/test_planned_stop.py
+++ b/tests/proxying/test_planned_stop.py
@@ -7,6 +7,8 @@
 import time
 import unittest
 
+from geraniumbend.errors import RefusedError
+from geraniumbend.proxying import PlannedStop
 from geraniumbend.timers import LoopTimers
 from tests.adapters._scripted_backend import (
     ScriptedBackend,
@@ -189,5 +191,14 @@
             ScriptedBackend(reply(b"ok")) as backend,
             DataPath(backend) as path,
         ):
-            path.planned_stop.begin(LoopTimers().now(), LIMIT_S)
+            path.planned_stop.begin(LoopTimers().now(), LIMIT_S / 2, LIMIT_S)
             self.assertEqual((await path.get())[0], 200)
+
+    def test_requests_are_checked_as_soon_as_callers_have_been_moved(self):
+        """Guards against requests that arrive in a long stop and end after it."""
+        stop = PlannedStop()
+        stop.begin(now_s=100.0, move_s=2.6, duration_s=29.5)
+        stop.check(102.5, deadline_s=140.0)
+        stop.check(103.0, deadline_s=129.0)
+        with self.assertRaises(RefusedError):
+            stop.check(103.0, deadline_s=130.0)
