Write no request to a server that has begun to leave since it was chosen

Cause: a server is chosen at one moment and written to at a later one. The resend for a silent connection, up to four silence timeouts later, asked for limits only.

Change: at each write the router is asked whether the server still accepts requests. An unwritten request goes to another server; a silent one is retried elsewhere, or waits for its answer if no server or budget is left. `over_limit` of UpstreamError is named `withheld`, since it covers both.

--- a/src/geraniumbend/adapters/_connection_pool.py
+++ b/src/geraniumbend/adapters/_connection_pool.py
@@ -140,7 +140,7 @@
         """
         if request.may_send is not None and not request.may_send():
             raise UpstreamError(
-                "the backend server is at its limit", "not_run", over_limit=True
+                "the backend server takes no more requests", "not_run", withheld=True
             )
         exchange.transmit(request)
 
--- a/src/geraniumbend/adapters/_http_upstream.py
+++ b/src/geraniumbend/adapters/_http_upstream.py
@@ -73,7 +73,7 @@
             return exchange
         except UpstreamError as error:
             unreachable = error.run == "not_run" and not (
-                error.timed_out or error.over_limit
+                error.timed_out or error.withheld
             )
             if unreachable and self._on_unreachable is not None:
                 self._on_unreachable(server.server_id)
--- a/src/geraniumbend/adapters/_silent_connections.py
+++ b/src/geraniumbend/adapters/_silent_connections.py
@@ -212,7 +212,7 @@
             # The request was sent before, so it may have run although this copy of it
             # was not sent.
             error.run = "unknown"
-            error.over_limit = False
+            error.withheld = False
             raise
         except BaseException:
             fresh.close()
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -130,7 +130,7 @@
                 attempt = await self._send_hedged(attempt, context)
             except UpstreamError as error:
                 self._check_link(context, error)
-                if error.unreachable or error.over_limit:
+                if error.unreachable or error.withheld:
                     successor = await self._begin_replacement(context, error)
                 else:
                     not_run = error.run == "not_run"
@@ -316,7 +316,7 @@
             is_link_suspect = self._links is not None and self._links.is_suspect(
                 context.group
             )
-            spared = error.server_full or error.over_limit or is_link_suspect
+            spared = error.server_full or error.withheld or is_link_suspect
             self.finish(attempt, context, failed=not spared)
             if error.server_full:
                 self._router.report_full(attempt.view)
@@ -351,7 +351,9 @@
 
         If the connection goes silent, the upstream asks for the request again and
         resends it to the same server on a new connection, with the time that is left
-        then. Where resends count as retries, the limits of retries apply to them.
+        then. Where resends count as retries, the limits of retries apply to them. A
+        server that has begun to leave gets nothing, neither a resend nor a request that
+        waited for a connection.
         """
         server = attempt.view.server
         limits = self._limits
@@ -360,6 +362,9 @@
             return self._router.is_full(attempt.view)
 
         def build_resend() -> UpstreamRequest | None:
+            if not self._router.accepts_requests(attempt.view):
+                self._move_resend(context)
+                return None
             if is_server_full():
                 return None
             if limits is not None:
@@ -375,6 +380,8 @@
 
         def build(kind: SendKind) -> UpstreamRequest:
             def may_send() -> bool:
+                if not self._router.accepts_requests(attempt.view):
+                    return False
                 return limits is None or limits.may_send(server, attempt.permit, kind)
 
             now_s = self._timers.now()
@@ -386,6 +393,20 @@
 
         return build(attempt.kind)
 
+    def _move_resend(self, context: RequestContext) -> None:
+        """End an attempt whose connection is silent if another server can take over.
+
+        Raises
+        ------
+        UpstreamError
+            If the request may be retried and there is another server.
+        """
+        has_alternative = self._router.has_alternative(context.group, context.tried)
+        if has_alternative and self._may_retry(context):
+            raise UpstreamError(
+                "the connection is silent and the backend server leaves", "unknown"
+            )
+
     def _verify_response(
         self, response: UpstreamResponse, context: RequestContext
     ) -> None:
@@ -483,7 +504,7 @@
         replacements end when all servers of the group were tried.
         """
         context.attempts -= 1
-        if not context.body_replayable or (context.send_once and not error.over_limit):
+        if not context.body_replayable or (context.send_once and not error.withheld):
             return None
         if self._timers.now() >= context.deadline_s:
             return None
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -39,8 +39,8 @@
         Whether no connection could be opened; the attempt cost the server no work then.
     server_full : bool, default=False
         Whether the connection broke before the response while the server was full.
-    over_limit : bool, default=False
-        Whether nothing was sent because the server is at its limit.
+    withheld : bool, default=False
+        Whether nothing was sent because the server is at its limit or leaves.
     """
 
     def __init__(
@@ -51,7 +51,7 @@
         timed_out: bool = False,
         unreachable: bool = False,
         server_full: bool = False,
-        over_limit: bool = False,
+        withheld: bool = False,
     ) -> None:
         super().__init__(message)
         self.run = run
@@ -59,7 +59,7 @@
         self.timed_out = timed_out
         self.unreachable = unreachable
         self.server_full = server_full
-        self.over_limit = over_limit
+        self.withheld = withheld
 
 
 class BodySource(Protocol):
@@ -291,6 +291,14 @@
         """Tell whether a server has more requests than slots by its last report."""
         ...
 
+    def accepts_requests(self, view: ServerView) -> bool:
+        """Tell whether a server may still get requests: it has not begun to leave."""
+        ...
+
+    def has_alternative(self, group: str, excluded: Collection[str]) -> bool:
+        """Tell whether a group has servers besides the excluded ones."""
+        ...
+
     def report_full(self, view: ServerView) -> None:
         """Record that a server reset a connection because it was full."""
         ...
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -306,6 +306,19 @@
         """Tell whether a server has more requests than slots by its last report."""
         return view.is_full(self._timers.now())
 
+    def accepts_requests(self, view: ServerView) -> bool:
+        """Tell whether a server may still get requests.
+
+        A request is written some time after its server was chosen. The server may have
+        begun to leave since then.
+        """
+        is_known = self._table.view(view.server_id) is view
+        return is_known and not (view.draining or view.address_reused)
+
+    def has_alternative(self, group: str, excluded: Collection[str]) -> bool:
+        """Tell whether a group has servers besides the excluded ones."""
+        return bool(self._list_candidates(group, excluded))
+
     def report_full(self, view: ServerView) -> None:
         """Use a server only when no other is left until it reports free slots.
 
--- a/tests/proxying/_data_path.py
+++ b/tests/proxying/_data_path.py
@@ -31,6 +31,7 @@
         self.max_wait_s = []
         self.has_free_slot = True
         self.full = set()
+        self.leaving = set()
         self.reported_full = []
 
     async def probe_candidates(
@@ -45,7 +46,7 @@
 
     def choose(self, group, request_class, excluded, deadline_s, trial=True):
         for view in self.views:
-            if view.server_id not in excluded:
+            if view.server_id not in excluded and self.accepts_requests(view):
                 return view
         raise RefusedError("no server left")
 
@@ -61,6 +62,15 @@
     def is_full(self, view):
         return view.server_id in self.full
 
+    def accepts_requests(self, view):
+        return view.server_id not in self.leaving
+
+    def has_alternative(self, group, excluded):
+        return any(
+            view.server_id not in excluded and self.accepts_requests(view)
+            for view in self.views
+        )
+
     def report_full(self, view):
         self.reported_full.append(view.server_id)
 
--- /dev/null
+++ b/tests/proxying/test_leaving_servers.py
@@ -0,0 +1,129 @@
+"""Requests whose server begins to leave between its choice and the write."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from geraniumbend.model import OrderSettings, RetrySettings
+from tests.adapters._scripted_backend import (
+    ScriptedBackend,
+    reply,
+    use_default_loop,
+    use_uvloop,
+)
+from tests.proxying._data_path import DataPath, make_rule, problem
+from tests.proxying.test_orders import FakeJournal
+
+setUpModule = use_uvloop
+tearDownModule = use_default_loop
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+RULE = make_rule(retry=RetrySettings(attempts=2, hedge=False), deadline_s=6.0)
+
+
+class SilentBackend(ScriptedBackend):
+    """Answers /silent on its first connection only after `answer` is set."""
+
+    def __init__(self):
+        self.answer = asyncio.Event()
+        self.asked = asyncio.Event()
+        super().__init__(self.respond)
+
+    async def respond(self, received, reader, writer):
+        if b" /silent " in received.head and received.connection == 1:
+            self.asked.set()
+            await self.answer.wait()
+        writer.write(OK)
+        return True
+
+    def count(self, target):
+        return sum(target in received.head for received in self.received)
+
+
+class SilentConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def send_silent(self, path, backend):
+        """Send a request that gets no answer; its server begins to leave."""
+        await path.get("/first")
+        sending = asyncio.ensure_future(path.get("/silent"))
+        await backend.asked.wait()
+        path.router.leaving.add("b1")
+        return sending
+
+    async def test_request_is_not_resent_to_a_server_that_leaves(self):
+        """Guards against resends after the draining of a server was acknowledged."""
+        async with (
+            SilentBackend() as backend,
+            ScriptedBackend(reply(b"other")) as other,
+            DataPath(backend, other, rule=RULE) as path,
+        ):
+            answer = await (await self.send_silent(path, backend))
+            self.assertEqual((answer[0], answer[2]), (200, b"other"))
+            self.assertEqual(backend.count(b" /silent "), 1)
+            self.assertEqual(other.received[0].head.count(b" /silent "), 1)
+
+    async def test_late_answer_is_delivered_if_no_other_server_is_left(self):
+        async with SilentBackend() as backend, DataPath(backend, rule=RULE) as path:
+            sending = await self.send_silent(path, backend)
+            async with asyncio.timeout(4):
+                # A second connection shows that the silence was noticed.
+                while backend.connections < 2:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            backend.answer.set()
+            self.assertEqual((await sending)[0], 200)
+            self.assertEqual(backend.count(b" /silent "), 1)
+
+    async def test_late_answer_is_delivered_if_the_retry_budget_is_spent(self):
+        async with (
+            SilentBackend() as backend,
+            ScriptedBackend(reply(b"other")) as other,
+            DataPath(backend, other, rule=RULE) as path,
+        ):
+            path.budget.left = 0
+            sending = await self.send_silent(path, backend)
+            async with asyncio.timeout(4):
+                while backend.connections < 2:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            backend.answer.set()
+            self.assertEqual((await sending)[2], b"ok")
+            self.assertEqual(other.received, [])
+
+
+class DelayedWriteTest(unittest.IsolatedAsyncioTestCase):
+    async def send_while_leaving(self, path):
+        """Send a request whose server begins to leave before the write."""
+
+        async def leave(fingerprint):
+            path.router.leaving.add("b1")
+
+        path.quarantine.begin_run = leave
+        return await path.get("/x", method="POST", body=b"b")
+
+    async def test_request_goes_to_another_server(self):
+        """Guards against requests that waited for a connection to a leaving server."""
+        for rule in (
+            make_rule(idempotent=False, retry=RetrySettings(attempts=1)),
+            make_rule(retry=RetrySettings(attempts=1)),
+            make_rule(order=OrderSettings(keyless="once")),
+        ):
+            async with (
+                ScriptedBackend(reply(b"one")) as one,
+                ScriptedBackend(reply(b"two")) as two,
+                DataPath(one, two, rule=rule, orders=FakeJournal()) as path,
+            ):
+                path.budget.left = 0
+                answer = await self.send_while_leaving(path)
+                self.assertEqual((answer[0], answer[2]), (200, b"two"))
+                self.assertEqual(one.received, [])
+                self.assertFalse(path.router.outcomes[0][1].failed)
+
+    async def test_request_without_another_server_is_refused_as_not_run(self):
+        async with (
+            ScriptedBackend(reply(b"one")) as one,
+            DataPath(one, rule=RULE) as path,
+        ):
+            status, document = problem(await self.send_while_leaving(path))
+            self.assertEqual((status, document["run"]), (503, "not_run"))
+            self.assertEqual(one.received, [])
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -38,6 +38,32 @@
         return used
 
 
+class LeavingServerTest(RouterCase):
+    def test_chosen_server_accepts_requests_until_it_begins_to_leave(self):
+        for change in ("drains", "leaves", "restarts", "moves"):
+            self.build(count=2)
+            view = self.choose()
+            self.assertTrue(self.router.accepts_requests(view), change)
+            servers = dict(self.servers)
+            server = servers.pop(view.server_id)
+            if change == "drains":
+                servers[view.server_id] = server._replace(draining=True)
+            if change == "restarts":
+                incarnation = server.incarnation + 1
+                servers[view.server_id] = server._replace(incarnation=incarnation)
+            if change == "moves":
+                self.router.report_address_reused(view)
+            else:
+                self.table.update(servers, self.configuration)
+            self.assertFalse(self.router.accepts_requests(view), change)
+
+    def test_server_besides_the_tried_ones_is_an_alternative(self):
+        self.build(count=2)
+        names = list(self.servers)
+        self.assertTrue(self.router.has_alternative("g", names[:1]))
+        self.assertFalse(self.router.has_alternative("g", names))
+
+
 class RouterTest(RouterCase):
     def test_fast_failing_server_attracts_no_traffic(self):
         self.build()
