Shorten the description of a malformed response

A faulty server's bytes were quoted whole, escaped, in the error of its response: 459 KB in the test. The error was kept with the failed request and written to the log.

Now the first line of the description is used, 200 characters at most. test_description_of_a_malformed_response_is_short failed before.

--- a/src/geraniumbend/adapters/_backend_protocol.py
+++ b/src/geraniumbend/adapters/_backend_protocol.py
@@ -19,6 +19,8 @@
 # not limit the line before a chunk, which a faulty server may send without end.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_INTERIM_RESPONSES = 16
+# Characters of the parser's description of a defect, which quotes received bytes.
+MAX_DEFECT_LENGTH = 200
 
 
 class BackendProtocol(ResponseHandler):
@@ -204,6 +206,12 @@
         self._response_body = None
 
 
+def describe_defect(error: Exception) -> str:
+    """Return the first line of an error's message, shortened."""
+    lines = str(getattr(error, "message", error)).splitlines() or [""]
+    return lines[0][:MAX_DEFECT_LENGTH]
+
+
 def _resolve(future: asyncio.Future[None] | None) -> None:
     if future is not None and not future.done():
         future.set_result(None)
--- a/src/geraniumbend/adapters/_exchange.py
+++ b/src/geraniumbend/adapters/_exchange.py
@@ -8,7 +8,10 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, EofStream
 
-from geraniumbend.adapters._backend_protocol import MAX_INTERIM_RESPONSES
+from geraniumbend.adapters._backend_protocol import (
+    MAX_INTERIM_RESPONSES,
+    describe_defect,
+)
 from geraniumbend.adapters._generation import get_protocol
 from geraniumbend.errors import GeraniumbendError
 from geraniumbend.proxying import UpstreamError
@@ -112,7 +115,7 @@
                 message, payload = await self.protocol.read()
             except HttpProcessingError as error:
                 raise UpstreamError(
-                    f"response is malformed: {error.message}", "unknown"
+                    f"response is malformed: {describe_defect(error)}", "unknown"
                 ) from error
             except (aiohttp.ClientError, OSError, EofStream) as error:
                 raise ConnectionError(str(error)) from error
@@ -141,7 +144,9 @@
             # Reading resumes a paused parser, which may add the last bytes and the end.
             return data, payload.at_eof()
         except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
-            raise UpstreamError(f"response is truncated: {error}", "unknown") from error
+            raise UpstreamError(
+                f"response is truncated: {describe_defect(error)}", "unknown"
+            ) from error
 
     async def read(self) -> bytes:
         """Return the next bytes of the body; empty at its complete end.
@@ -159,7 +164,9 @@
         try:
             return await self._payload.readany()
         except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
-            raise UpstreamError(f"response is truncated: {error}", "unknown") from error
+            raise UpstreamError(
+                f"response is truncated: {describe_defect(error)}", "unknown"
+            ) from error
 
     def close(self) -> None:
         """Return the connection to the pool; close it unless the body was read."""
--- a/tests/adapters/test_endless_responses.py
+++ b/tests/adapters/test_endless_responses.py
@@ -96,6 +96,13 @@
                 self.assertEqual(pool.count(), 0)
                 await pool.close()
 
+    async def test_description_of_a_malformed_response_is_short(self):
+        """Guards against log lines with all bytes that a faulty server sent."""
+        async with EndlessBackend(*ENDLESS["other protocol"]) as backend:
+            with self.assertRaises(UpstreamError) as caught:
+                await self.fetch(backend)
+        self.assertLess(len(str(caught.exception)), 300)
+
     async def test_other_requests_are_answered_beside_endless_responses(self):
         async with (
             EndlessBackend(CHUNKED + b"5;a=", b"x") as endless,
