Free the unread part of a response with its caller

Cause: what a caller had not read was still referred to by objects that only the garbage collector frees, and that runs after 50,000 allocations. A closed exchange kept its unread body, and the frames of relay and write kept the bytes that they had passed on.

Change: a closed exchange drops its body, and neither the relay nor the write keeps bytes while it waits for the caller. Reading a closed exchange raises UpstreamError.

--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -225,8 +225,9 @@
         CallerLostError
             If the caller closed the connection or reads too slowly.
         """
-        if framed := self._frame(data):
-            self._write(framed)
+        self._write(self._frame(data))
+        # Not kept while a slow caller reads what was written before.
+        del data
         protocol = self._protocol
         if protocol.writing_paused:
             try:
@@ -317,7 +318,8 @@
         transport = self._protocol.transport
         if transport is None or transport.is_closing():
             raise CallerLostError("caller closed the connection")
-        transport.write(data)
+        if data:
+            transport.write(data)
 
     def _check_target(self) -> None:
         target = self.target
--- a/src/geraniumbend/adapters/_exchange.py
+++ b/src/geraniumbend/adapters/_exchange.py
@@ -20,6 +20,7 @@
     from collections.abc import Callable, Mapping, Sequence
 
     from aiohttp.connector import Connection
+    from aiohttp.streams import StreamReader
 
     from geraniumbend.adapters._generation import Generation
     from geraniumbend.proxying import UpstreamRequest
@@ -61,7 +62,7 @@
         # Time between the last response and this request on the connection, in seconds.
         self.idle_s = 0.0
         self._on_close: Callable[[Exchange, bool], None] | None = on_close
-        self._payload = EMPTY_PAYLOAD
+        self._payload: StreamReader | None = EMPTY_PAYLOAD
         self._upload: asyncio.Task[None] | None = None
         self._upload_error: GeraniumbendError | None = None
 
@@ -138,7 +139,7 @@
         UpstreamError
             If the body ended early or is malformed.
         """
-        payload = self._payload
+        payload = self._require_payload()
         try:
             data = payload.read_nowait()
             # Reading resumes a paused parser, which may add the last bytes and the end.
@@ -161,8 +162,9 @@
         UpstreamError
             If the body ended early or is malformed.
         """
+        payload = self._require_payload()
         try:
-            return await self._payload.readany()
+            return await payload.readany()
         except (aiohttp.ClientError, HttpProcessingError, OSError) as error:
             raise UpstreamError(
                 f"response is truncated: {describe_defect(error)}", "unknown"
@@ -175,7 +177,10 @@
             return
         if self._upload is not None and not self._upload.done():
             self._upload.cancel()
-        complete = self.status >= 200 and self.request_sent and self._payload.is_eof()
+        # Unread bytes must not live as long as the objects that refer to the exchange.
+        payload, self._payload = self._payload, None
+        is_read = payload is not None and payload.is_eof()
+        complete = self.status >= 200 and self.request_sent and is_read
         reusable = complete and not self.protocol.should_close
         if not reusable and (transport := self.connection.transport) is not None:
             transport.abort()
@@ -188,6 +193,11 @@
         self.protocol.force_close()
         self.close()
 
+    def _require_payload(self) -> StreamReader:
+        if self._payload is None:
+            raise UpstreamError("the response was closed before its end", "unknown")
+        return self._payload
+
     async def _send_body(self, request: UpstreamRequest) -> None:
         source = request.source
         assert source is not None
--- a/src/geraniumbend/proxying/_relay.py
+++ b/src/geraniumbend/proxying/_relay.py
@@ -93,4 +93,7 @@
                 raise UpstreamError(
                     f"no byte of the response arrived within {idle_s} s", "unknown"
                 ) from error
-        await request.write(data)
+        writing = request.write(data)
+        # Not kept while a slow caller reads what was written before.
+        del data
+        await writing
--- a/tests/adapters/test_endless_responses.py
+++ b/tests/adapters/test_endless_responses.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import tracemalloc
 import unittest
 
 from geraniumbend.adapters.http_upstream import ConnectionPool, HttpUpstream, LoadProbe
+from geraniumbend.model import RetrySettings
 from geraniumbend.proxying import UpstreamError
 from geraniumbend.timers import LoopTimers
 from tests.adapters._scripted_backend import (
@@ -16,6 +19,7 @@
     use_default_loop,
     use_uvloop,
 )
+from tests.proxying._data_path import DataPath, make_rule
 
 setUpModule = use_uvloop
 tearDownModule = use_default_loop
@@ -134,3 +138,44 @@
                     self.assertIsNone(await probe.send(backend.describe()))
                 await self.check_closed(backend)
             await upstream.close()
+
+
+class UnreadBodyTest(unittest.IsolatedAsyncioTestCase):
+    """Bodies without end whose callers do not read them and go away."""
+
+    CALLERS = 8
+    # A chunk of a socket for each caller would be 2 MB.
+    MOST_BYTES_LEFT = 1_000_000
+
+    async def abandon(self, path):
+        _reader, writer = await path.connect()
+        writer.transport.pause_reading()
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(0.4)
+        writer.transport.abort()
+        await asyncio.sleep(0.1)
+
+    async def check(self, head, unit):
+        rule = make_rule(retry=RetrySettings(attempts=2, hedge=False))
+        async with (
+            EndlessBackend(head, unit) as one,
+            EndlessBackend(head, unit) as two,
+            DataPath(one, two, rule=rule) as path,
+        ):
+            await self.abandon(path)
+            gc.collect()
+            gc.disable()
+            self.addCleanup(gc.enable)
+            tracemalloc.start()
+            self.addCleanup(tracemalloc.stop)
+            for _ in range(self.CALLERS):
+                await self.abandon(path)
+            left = tracemalloc.get_traced_memory()[0]
+        self.assertLess(left, self.MOST_BYTES_LEFT)
+
+    async def test_unread_bytes_go_with_their_callers(self):
+        """Guards against bodies that stay in memory until a garbage collection."""
+        await self.check(b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 1024)
+
+    async def test_unread_bytes_of_errors_go_with_their_callers(self):
+        await self.check(b"HTTP/1.1 500 Error\r\n\r\n", b"x" * 1024)
