Bound the bodies that control hosts and announce listeners read

Shown by a trial: 40 senders of 15 MB each that never finish their bodies raised a control host from 44 to 647 MB, as heartbeats and as configurations; the platform kills a process at 300 MB.

Cause: each body had a limit (16 MiB, also for a heartbeat of some hundred bytes), all together had none, and no body had to end.

Change: BodyReader bounds one body, all bodies that are being read (48 MiB, 503 beyond), and the time of one (60 s, 408). Announcements have 64 KiB at most.

--- a/src/geraniumbend/adapters/_announce_listener.py
+++ b/src/geraniumbend/adapters/_announce_listener.py
@@ -5,7 +5,7 @@
 
 from aiohttp.web_response import Response
 
-from geraniumbend.adapters.management_server import ManagementServer, read_body
+from geraniumbend.adapters.management_server import BodyReader, ManagementServer
 from geraniumbend.adapters.metrics_listener import MetricsSource, describe_process
 from geraniumbend.errors import GeraniumbendError, RefusedError
 from geraniumbend.logs import declare_event, log_event
@@ -77,6 +77,7 @@
         self._ready_path = ready_path
         self._announcements = announcements
         self._source = source
+        self._bodies = BodyReader(BODY_LIMIT_BYTES)
         self._server = ManagementServer(listen, self._handle)
         self.certificates = self._server.certificates
 
@@ -115,7 +116,7 @@
             status, document = await self._announcements.handle(
                 method,
                 path,
-                await read_body(request, BODY_LIMIT_BYTES),
+                await self._bodies.read(request),
                 request.query,
                 request.headers.get("Authorization"),
             )
--- a/src/geraniumbend/adapters/management_server.py
+++ b/src/geraniumbend/adapters/management_server.py
@@ -20,11 +20,13 @@
 
     from geraniumbend.settings import ListenSettings
 
-__all__ = ["ManagementServer", "read_body"]
+__all__ = ["BodyReader", "ManagementServer"]
 
 IDLE_TIMEOUT_S = 30.0
 # Open connections delay the end of the process by at most this time, in seconds.
 STOP_TIMEOUT_S = 0.2
+BODY_TIMEOUT_S = 60.0
+SHARED_BODY_BYTES = 48 * 1024 * 1024
 
 
 class ManagementServer:
@@ -73,31 +75,71 @@
             await self._server.shutdown(STOP_TIMEOUT_S)
 
 
-async def read_body(request: BaseRequest, limit_bytes: int) -> bytes:
-    """Return the whole body of a request.
+class BodyReader:
+    """Reads bodies of requests; those that are not complete share a limit.
 
     Parameters
     ----------
-    request : aiohttp.web_request.BaseRequest
-        Request.
     limit_bytes : int
-        Maximum size in bytes.
-
-    Raises
-    ------
-    RefusedError
-        If the body exceeds the limit (413).
+        Maximum size of one body in bytes.
+    shared_bytes : int, default=50331648
+        Maximum size of all bodies that are being read, in bytes.
+    timeout_s : float, default=60.0
+        Maximum time for one body, in seconds.
     """
-    parts = []
-    size = 0
-    while data := await request.content.readany():
-        parts.append(data)
-        size += len(data)
-        if size > limit_bytes:
+
+    def __init__(
+        self,
+        limit_bytes: int,
+        shared_bytes: int = SHARED_BODY_BYTES,
+        timeout_s: float = BODY_TIMEOUT_S,
+    ) -> None:
+        self._limit_bytes = limit_bytes
+        self._shared_bytes = shared_bytes
+        self._timeout_s = timeout_s
+        self._held_bytes = 0
+
+    async def read(self, request: BaseRequest) -> bytes:
+        """Return the whole body of a request.
+
+        Raises
+        ------
+        RefusedError
+            If the body exceeds its limit (413), the shared limit is reached (503), or
+            the body does not arrive in time (408).
+        """
+        parts = []
+        size = 0
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                while data := await request.content.readany():
+                    size += len(data)
+                    self._held_bytes += len(data)
+                    self._check(size)
+                    parts.append(data)
+        except TimeoutError as error:
+            raise RefusedError(
+                f"the body did not arrive in {self._timeout_s:.3g} s",
+                "send the whole body at once",
+                status=408,
+                kind="body_timeout",
+            ) from error
+        finally:
+            self._held_bytes -= size
+        return b"".join(parts)
+
+    def _check(self, size: int) -> None:
+        if size > self._limit_bytes:
             raise RefusedError(
-                f"the body exceeds {limit_bytes} bytes",
+                f"the body exceeds {self._limit_bytes} bytes",
                 "send a shorter body",
                 status=413,
                 kind="body_too_long",
             )
-    return b"".join(parts)
+        if self._held_bytes > self._shared_bytes:
+            raise RefusedError(
+                "too many long bodies arrive at once",
+                "send the request to another host, or later",
+                status=503,
+                kind="bodies_too_long",
+            )
--- a/src/geraniumbend/platform/_listener.py
+++ b/src/geraniumbend/platform/_listener.py
@@ -5,7 +5,7 @@
 import msgspec
 from aiohttp.web_response import Response
 
-from geraniumbend.adapters.management_server import ManagementServer, read_body
+from geraniumbend.adapters.management_server import BodyReader, ManagementServer
 from geraniumbend.errors import (
     ConfigurationError,
     ConflictError,
@@ -29,7 +29,8 @@
 PUT_CONFIGURATION = "/-/config/put"
 GET_CONFIGURATION = "/-/config/get"
 OPERATOR = "platform"
-BODY_LIMIT_BYTES = 16 * 1024 * 1024
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 
 declare_event(
     920,
@@ -65,6 +66,8 @@
     def __init__(self, listen: ListenSettings, services: ControlServices) -> None:
         self._listen = listen
         self._services = services
+        self._announcements = BodyReader(MAX_ANNOUNCEMENT_BYTES)
+        self._configurations = BodyReader(MAX_CONFIGURATION_BYTES)
         self._server = ManagementServer(listen, self._handle)
 
     async def start(self) -> None:
@@ -103,7 +106,7 @@
 
     async def _handle_heartbeat(self, request: BaseRequest, server_id: str) -> Response:
         services = self._services
-        body = await read_body(request, BODY_LIMIT_BYTES)
+        body = await self._announcements.read(request)
         announcement = read_heartbeat(server_id, body, services.lease_s)
         try:
             await services.announcements.announce(announcement)
@@ -113,7 +116,7 @@
         return _respond(200, msgspec.json.encode({"heartbeat-url": self._own_url()}))
 
     async def _handle_leave(self, request: BaseRequest, server_id: str) -> Response:
-        incarnation = read_deregistration(await read_body(request, BODY_LIMIT_BYTES))
+        incarnation = read_deregistration(await self._announcements.read(request))
         try:
             await self._services.announcements.deregister(server_id, incarnation)
         except ConflictError as error:
@@ -121,7 +124,7 @@
         return _respond(200, b"{}")
 
     async def _put_configuration(self, request: BaseRequest) -> Response:
-        body = await read_body(request, BODY_LIMIT_BYTES)
+        body = await self._configurations.read(request)
         configuration = read_configuration(body)
         service = self._services.configuration
         outcome = await service.replace(configuration, body, OPERATOR)
