End a command whose response is longer than 64 MiB

The command line read responses of control hosts and gateways to their end, for up to 60 s, into memory. An address that is no control host could fill it.

--- a/src/geraniumbend/cli/_client.py
+++ b/src/geraniumbend/cli/_client.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 # Total time of one request to a control host, in seconds.
 REQUEST_TIMEOUT_S = 60.0
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # Longest time in seconds that a command waits for hosts that respond that they are
 # unavailable, as they do during an election.
 ELECTION_WAIT_S = 5.0
@@ -121,12 +123,33 @@
 
 async def _call_host(session: Any, method: str, url: str, body: Any) -> Any:
     async with session.request(method, url, json=body) as response:
-        content = await response.json(content_type=None)
+        content = await read_document(response)
         if response.status < 400:
             return content
         raise _rebuild_error(response.status, content)
 
 
+async def read_document(response: Any) -> Any:
+    """Return the JSON document of a response.
+
+    Raises
+    ------
+    ProtocolError
+        If the response exceeds `MAX_RESPONSE_BYTES`.
+    ValueError
+        If it is no JSON document.
+    """
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise errors.ProtocolError(
+                f"the response exceeds {MAX_RESPONSE_BYTES} bytes",
+                "check that --api names a control host",
+            )
+    return json.loads(body) if body else None
+
+
 def _rebuild_error(status: int, content: Any) -> GeraniumbendError:
     document = content if isinstance(content, dict) else {}
     message = str(document.get("title", f"status {status}"))
--- a/src/geraniumbend/cli/_monitoring.py
+++ b/src/geraniumbend/cli/_monitoring.py
@@ -7,7 +7,7 @@
 from cyclopts import Parameter
 
 from geraniumbend.cli._application import commands
-from geraniumbend.cli._client import request
+from geraniumbend.cli._client import read_document, request
 from geraniumbend.cli._output import Row, print_rows
 from geraniumbend.errors import UnavailableError
 
@@ -133,7 +133,7 @@
         async def fetch(address: str) -> Any:
             async with session.get(f"http://{address}/state") as response:
                 response.raise_for_status()
-                return await response.json()
+                return await read_document(response)
 
         states = await asyncio.gather(
             *(fetch(address) for address in gateways), return_exceptions=True
