Let a control host that hears no leader ask whether it still is a member

Cause: the leader removed the frozen voter. A host asked to join only if its own log does not name it, and nobody replicates to a host that was removed, so it never learned.

Change: a member that has heard no leader for 3 s asks to join, at most each 3 s. For a member that still is one the request is a conflict without effect.

--- a/src/geraniumbend/replication/_replica.py
+++ b/src/geraniumbend/replication/_replica.py
@@ -279,6 +279,14 @@
         """Return the peer address of the known leader, empty if unknown."""
         return self._core.leader_address
 
+    @property
+    def leader_silence_s(self) -> float:
+        """Return the time since a leader last replicated to this replica, in seconds.
+
+        The time begins with the start of the replica.
+        """
+        return self._core.timers.now() - self._core.leader_contact_at
+
     @property
     def commit_index(self) -> int:
         """Return the index of the last entry known to be committed."""
--- a/src/geraniumbend/roles/_member_reconciler.py
+++ b/src/geraniumbend/roles/_member_reconciler.py
@@ -24,6 +24,9 @@
 REPLACE_AFTER_S = 5.0
 # The same for a voter while a learner on standby can take its place at once.
 REPLACE_BY_STANDBY_AFTER_S = 1.0
+# A member that hears no leader for this time, in seconds, asks to join: the others may
+# have removed it while it was frozen or cut off, and no longer replicate to it.
+LEADERLESS_S = 3.0
 # A learner on standby has caught up if it lacks at most this many committed entries.
 STANDBY_LAG_ENTRIES = 100
 
@@ -45,10 +48,11 @@
     """Reconciles the members of the logs with the live control hosts.
 
     A host that is not a member of a log asks the log's leader to add it as a learner on
-    standby. A leader promotes one while there are fewer than `target_voters`. It
-    removes dead learners, and dead voters that a learner on standby can replace at
-    once: a voter that is gone for good must not count beside its successor, because
-    more voters need a larger majority.
+    standby. So does a member that hears no leader, since it may have been removed; a
+    member that was not stays what it is. A leader promotes one while there are fewer
+    than `target_voters`. It removes dead learners, and dead voters that a learner on
+    standby can replace at once: a voter that is gone for good must not count beside its
+    successor, because more voters need a larger majority.
 
     Parameters
     ----------
@@ -82,6 +86,7 @@
         self._target_voters = target_voters
         self._clients = clients
         self._timers = timers
+        self._asked_at = -LEADERLESS_S
         self._last_live_at: dict[tuple[str, str], float] = {}
         self._reconcile_timer: Subscription | None = None
         self._next_host = 0
@@ -110,9 +115,20 @@
         for replica in self._replicas.values():
             if replica.is_leader:
                 await self._reconcile_members(replica)
-            elif not any(m.name == self._address for m in replica.members()):
+            elif not self._is_member(replica) or self._is_abandoned(replica):
                 await self._request_join(replica)
 
+    def _is_member(self, replica: Replica) -> bool:
+        return any(member.name == self._address for member in replica.members())
+
+    def _is_abandoned(self, replica: Replica) -> bool:
+        """Tell whether the leader has been silent for so long that this host asks."""
+        now = self._timers.now()
+        if min(replica.leader_silence_s, now - self._asked_at) < LEADERLESS_S:
+            return False
+        self._asked_at = now
+        return True
+
     async def _request_join(self, replica: Replica) -> None:
         hosts = [host for host in self._list_control_hosts() if host != self._address]
         if not hosts:
--- a/tests/roles/test_member_reconciler.py
+++ b/tests/roles/test_member_reconciler.py
@@ -7,6 +7,7 @@
 from geraniumbend.errors import ConflictError, NotLeaderError, UnavailableError
 from geraniumbend.replication import MemberState
 from geraniumbend.roles._member_reconciler import (
+    LEADERLESS_S,
     REPLACE_AFTER_S,
     REPLACE_BY_STANDBY_AFTER_S,
     STANDBY_LAG_ENTRIES,
@@ -25,6 +26,7 @@
     def __init__(self, *members, is_leader=True):
         self.member_list = list(members)
         self.is_leader = is_leader
+        self.leader_silence_s = 0.0
         self.commit_index = 0
         self.removed = []
         self.promoted = []
@@ -94,6 +96,17 @@
         await self.run_for(reconciler, 2.0)
         self.assertEqual(self.clients.calls, [])
 
+    async def test_member_that_knows_no_leader_asks_whether_it_still_is_one(self):
+        """Guards against a host that was replaced while frozen and never comes back."""
+        replica = FakeReplica(member("own"), member("b"), is_leader=False)
+        reconciler = self.build(replica)
+        replica.leader_silence_s = 0.99 * LEADERLESS_S
+        await self.run_for(reconciler, 10.0)
+        self.assertEqual(self.clients.calls, [])
+        replica.leader_silence_s = LEADERLESS_S
+        await self.run_for(reconciler, 2 * LEADERLESS_S)
+        self.assertEqual([c[1] for c in self.clients.calls], ["control.join"] * 2)
+
     async def test_dead_voter_is_removed_only_after_it_was_replaced(self):
         voters = [member(name) for name in ("own", "b", "c", "d")]
         replica = FakeReplica(*voters, member("e", is_live=False))
