Limit the history of configuration changes in bytes

Subscribers that lack older changes get the whole configuration, as before beyond 1,000 changes. While builds are mixed, replicas differ in the depth of their history only.

--- a/src/geraniumbend/configuration/_store.py
+++ b/src/geraniumbend/configuration/_store.py
@@ -25,6 +25,9 @@
 
 SNAPSHOT_FORMAT = 1
 HISTORY_LIMIT = 1000
+# Bytes of operations in the history. A subscriber that needs older changes gets the
+# whole configuration.
+HISTORY_BYTES = 8 * 1024 * 1024
 OUTCOME_LIMIT = 10_000
 # Limits the values returned with a conflict, because outcomes are recorded and would
 # otherwise grow with the size of the change.
@@ -98,6 +101,7 @@
         self.applied_index = 0
         self._source = b""
         self.history: deque[HistoryEntry] = deque(maxlen=HISTORY_LIMIT)
+        self._history_bytes = 0
         self._outcomes: OrderedDict[str, _Recorded] = OrderedDict()
         self._time_ms = 0
         self._callbacks: list[Callable[[], None]] = []
@@ -176,9 +180,11 @@
         self.current = parse_configuration(state["configuration"])
         self._source = base64.b64decode(state.get("source", ""))
         self.history.clear()
-        self.history.extend(
-            msgspec.convert(state["history"], list[HistoryEntry], strict=False)
-        )
+        self._history_bytes = 0
+        for entry in msgspec.convert(
+            state["history"], list[HistoryEntry], strict=False
+        ):
+            self._remember(entry)
         self._outcomes.clear()
         for change_id, *recorded in state["outcomes"]:
             self._outcomes[change_id] = msgspec.convert(recorded, _Recorded)
@@ -367,10 +373,19 @@
         self._set_current(changed, entry)
 
     def _set_current(self, changed: Configuration, entry: HistoryEntry) -> None:
-        self.history.append(entry)
+        self._remember(entry)
         self.current = changed
         self._notify()
 
+    def _remember(self, entry: HistoryEntry) -> None:
+        """Append to the history; drop the oldest beyond its count or its bytes."""
+        if len(self.history) == HISTORY_LIMIT:
+            self._history_bytes -= len(self.history.popleft().operations)
+        self.history.append(entry)
+        self._history_bytes += len(entry.operations)
+        while self._history_bytes > HISTORY_BYTES:
+            self._history_bytes -= len(self.history.popleft().operations)
+
     def _notify(self) -> None:
         for callback in self._callbacks:
             callback()
