Install the libraries anew on another kind of machine

What the operator sees: target/ is carried to a machine with another processor or another Python; the build ends with 0, and every process ends at once with "No module named 'msgspec._core'".

Cause: the build compared the age of pyproject.toml only. Now its stamp names the kind of the libraries (EXT_SUFFIX), and those of another kind are removed.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,13 +2,16 @@
 # Installs the libraries and the program in target/deps, which is on the import path.
 set -eu
 deps=target/deps
-if [ ! "$deps/.installed" -nt pyproject.toml ]; then
+# Compiled libraries serve one kind of processor and one version of Python.
+kind=$(python3 -c 'import sysconfig; print(sysconfig.get_config_var("EXT_SUFFIX"))')
+if [ ! "$deps/.installed" -nt pyproject.toml ] || [ "$(cat "$deps/.installed")" != "$kind" ]; then
+    rm -rf "$deps"
     mkdir -p "$deps"
     python3 deploy/requirements.py > target/requirements.txt
     python3 -m pip install -q --disable-pip-version-check --no-warn-script-location \
         -U --target "$deps" -r target/requirements.txt
     python3 -m compileall -q "$deps" || true
-    touch "$deps/.installed"
+    echo "$kind" > "$deps/.installed"
 fi
 # Running processes read these files when they restart. So the new folder is prepared
 # aside and moved into place, and only if a file has changed.
