--- a/bench/_blocking.py
+++ b/bench/_blocking.py
@@ -1,3 +1,5 @@
+"""Experiment on head-of-line blocking of short requests by long ones."""
+
 from __future__ import annotations
 
 import random
--- a/bench/_charts.py
+++ b/bench/_charts.py
@@ -1,3 +1,5 @@
+"""Charts of the report page."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
--- a/bench/_checks.py
+++ b/bench/_checks.py
@@ -1,3 +1,5 @@
+"""Checks that the figures of an experiment come from successful requests."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/bench/_cluster.py
+++ b/bench/_cluster.py
@@ -1,3 +1,5 @@
+"""Gateway and control processes on loopback."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_config.py
+++ b/bench/_config.py
@@ -1,3 +1,5 @@
+"""Experiment on the time until configuration changes are in force."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_control_hosts.py
+++ b/bench/_control_hosts.py
@@ -1,3 +1,5 @@
+"""Simulated control hosts with the real log and configuration service."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_crest.py
+++ b/bench/_crest.py
@@ -1,3 +1,5 @@
+"""Experiment on sheet opens at several times the capacity."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_demo.py
+++ b/bench/_demo.py
@@ -1,3 +1,5 @@
+"""Demonstration of a small cluster, from start to stop."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_departures.py
+++ b/bench/_departures.py
@@ -1,3 +1,5 @@
+"""Experiment on the disk writes of departures."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_drain.py
+++ b/bench/_drain.py
@@ -1,3 +1,5 @@
+"""Experiment on planned stops and departures of backend servers."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_experiments.py
+++ b/bench/_experiments.py
@@ -1,3 +1,5 @@
+"""Registry and options of the experiments."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Coroutine
--- a/bench/_final_losses.py
+++ b/bench/_final_losses.py
@@ -1,3 +1,5 @@
+"""Experiment on losses of disks and power at the end of a schedule."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_fits.py
+++ b/bench/_fits.py
@@ -1,3 +1,5 @@
+"""Least-squares fits of measured points."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
--- a/bench/_goals.py
+++ b/bench/_goals.py
@@ -1,3 +1,5 @@
+"""Goals of the experiments and their verdicts."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any, NamedTuple
--- a/bench/_in_process_gateway.py
+++ b/bench/_in_process_gateway.py
@@ -1,3 +1,5 @@
+"""Gateways with the real decisions, run within the process of an experiment."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_limit_model.py
+++ b/bench/_limit_model.py
@@ -1,3 +1,5 @@
+"""Model of gateways and servers that name limits, in virtual time."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_limit_rule.py
+++ b/bench/_limit_rule.py
@@ -1,3 +1,5 @@
+"""Rule that sends to a limited server must keep."""
+
 from __future__ import annotations
 
 import itertools
--- a/bench/_load.py
+++ b/bench/_load.py
@@ -1,3 +1,5 @@
+"""Planned request load for gateways within one process."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_load_cost.py
+++ b/bench/_load_cost.py
@@ -1,3 +1,5 @@
+"""Experiment on the cost of probes for backend servers."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_loss_disk.py
+++ b/bench/_loss_disk.py
@@ -1,3 +1,5 @@
+"""Simulated disk that loses unsynced content with the power."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_membership.py
+++ b/bench/_membership.py
@@ -1,3 +1,5 @@
+"""Experiment on membership by number of nodes."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_memory.py
+++ b/bench/_memory.py
@@ -1,3 +1,5 @@
+"""Experiment on the resident memory of each role."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_operator.py
+++ b/bench/_operator.py
@@ -1,3 +1,5 @@
+"""Client of the operators' API for experiments."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_orders.py
+++ b/bench/_orders.py
@@ -1,3 +1,5 @@
+"""Experiment on orders that are sent again."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_overhead.py
+++ b/bench/_overhead.py
@@ -1,3 +1,5 @@
+"""Experiment on the latency that a gateway adds."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_raw_client.py
+++ b/bench/_raw_client.py
@@ -1,3 +1,5 @@
+"""HTTP client with little overhead, for latency measurements."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_recovery.py
+++ b/bench/_recovery.py
@@ -1,3 +1,5 @@
+"""Experiment on restart and failover of a replicated log."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_recovery_data_path.py
+++ b/bench/_recovery_data_path.py
@@ -1,3 +1,5 @@
+"""Requests through gateways while control hosts are killed."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_report.py
+++ b/bench/_report.py
@@ -1,3 +1,5 @@
+"""Report page of all experiments."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -1,3 +1,5 @@
+"""Command line of the experiments."""
+
 from __future__ import annotations
 
 import argparse
--- a/bench/_server_limit.py
+++ b/bench/_server_limit.py
@@ -1,3 +1,5 @@
+"""Experiment on limits that backend servers name."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_server_pool.py
+++ b/bench/_server_pool.py
@@ -1,3 +1,5 @@
+"""Stub backend servers in a few processes."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_silent_connections.py
+++ b/bench/_silent_connections.py
@@ -1,3 +1,5 @@
+"""Experiment on connections that fall silent."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_slopes.py
+++ b/bench/_slopes.py
@@ -1,3 +1,5 @@
+"""Experiment on processor time and memory by number of servers and rules."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_slowdown.py
+++ b/bench/_slowdown.py
@@ -1,3 +1,5 @@
+"""Experiment on one slow and one failing server."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_soak.py
+++ b/bench/_soak.py
@@ -1,3 +1,5 @@
+"""Soak of real processes under random faults."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_soak_faults.py
+++ b/bench/_soak_faults.py
@@ -1,3 +1,5 @@
+"""Faults that the soak injects."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_soak_invariants.py
+++ b/bench/_soak_invariants.py
@@ -1,3 +1,5 @@
+"""Invariants that the soak checks."""
+
 from __future__ import annotations
 
 from collections import Counter
--- a/bench/_soak_limits.py
+++ b/bench/_soak_limits.py
@@ -1,3 +1,5 @@
+"""Limits that the servers of the soak name, and what is sent to them."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_soak_servers.py
+++ b/bench/_soak_servers.py
@@ -1,3 +1,5 @@
+"""Backend servers and fault-injecting proxies of the soak."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_stub_backend_server.py
+++ b/bench/_stub_backend_server.py
@@ -1,3 +1,5 @@
+"""Stub backend server with slots, a queue and faults."""
+
 from __future__ import annotations
 
 import asyncio
--- a/bench/_virtual_clock.py
+++ b/bench/_virtual_clock.py
@@ -1,3 +1,5 @@
+"""Event loop and timers whose time passes only while all tasks wait."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/_errors.py
+++ b/src/geraniumbend/_errors.py
@@ -1,3 +1,5 @@
+"""Tree of the errors that geraniumbend raises on purpose."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, ClassVar, Literal
--- a/src/geraniumbend/_interfaces.py
+++ b/src/geraniumbend/_interfaces.py
@@ -1,3 +1,5 @@
+"""Registry of the protocols towards callers, servers and operators."""
+
 from __future__ import annotations
 
 from importlib import import_module
--- a/src/geraniumbend/_keys.py
+++ b/src/geraniumbend/_keys.py
@@ -1,3 +1,5 @@
+"""Signatures with the cluster keys."""
+
 from __future__ import annotations
 
 import hmac
--- a/src/geraniumbend/_logs.py
+++ b/src/geraniumbend/_logs.py
@@ -1,3 +1,5 @@
+"""Numbered log events and their output as JSON lines."""
+
 from __future__ import annotations
 
 import logging
--- a/src/geraniumbend/_metrics.py
+++ b/src/geraniumbend/_metrics.py
@@ -1,3 +1,5 @@
+"""Metrics of a process and their text format."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
--- a/src/geraniumbend/_model.py
+++ b/src/geraniumbend/_model.py
@@ -1,3 +1,5 @@
+"""Configuration and backend server types shared by all parts."""
+
 from __future__ import annotations
 
 from typing import NamedTuple
--- a/src/geraniumbend/_registries.py
+++ b/src/geraniumbend/_registries.py
@@ -1,3 +1,5 @@
+"""Registries of implementations by name."""
+
 from __future__ import annotations
 
 from difflib import get_close_matches
--- a/src/geraniumbend/_settings.py
+++ b/src/geraniumbend/_settings.py
@@ -1,3 +1,5 @@
+"""Declarations of all settings, and their loading from files."""
+
 from __future__ import annotations
 
 import re
--- a/src/geraniumbend/_timers.py
+++ b/src/geraniumbend/_timers.py
@@ -1,3 +1,5 @@
+"""Timer service for production and for tests."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_announce_listener.py
+++ b/src/geraniumbend/adapters/_announce_listener.py
@@ -1,3 +1,5 @@
+"""HTTP listener for announcements, health, state and metrics."""
+
 from __future__ import annotations
 
 import json
--- a/src/geraniumbend/adapters/_backend_protocol.py
+++ b/src/geraniumbend/adapters/_backend_protocol.py
@@ -1,3 +1,5 @@
+"""Client side of a connection to a backend server."""
+
 from __future__ import annotations
 
 import select
--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -1,3 +1,5 @@
+"""Server side of a connection of a caller."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -1,3 +1,5 @@
+"""Request of a caller on an HTTP/1.1 connection."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_connection_pool.py
+++ b/src/geraniumbend/adapters/_connection_pool.py
@@ -1,3 +1,5 @@
+"""Connections to one backend server."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_datagram_frames.py
+++ b/src/geraniumbend/adapters/_datagram_frames.py
@@ -1,3 +1,5 @@
+"""Signed datagrams with protection against replay."""
+
 from __future__ import annotations
 
 import struct
--- a/src/geraniumbend/adapters/_exchange.py
+++ b/src/geraniumbend/adapters/_exchange.py
@@ -1,3 +1,5 @@
+"""One request and its response on a connection to a backend server."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_generation.py
+++ b/src/geraniumbend/adapters/_generation.py
@@ -1,3 +1,5 @@
+"""Connections to one backend server that are replaced together."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -1,3 +1,5 @@
+"""HTTP/1.1 listener for callers."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_http_upstream.py
+++ b/src/geraniumbend/adapters/_http_upstream.py
@@ -1,3 +1,5 @@
+"""Requests to backend servers over pooled connections."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
--- a/src/geraniumbend/adapters/_link_observer.py
+++ b/src/geraniumbend/adapters/_link_observer.py
@@ -1,3 +1,5 @@
+"""Observation of connections and responses of backend servers."""
+
 from __future__ import annotations
 
 from typing import Literal, Protocol
--- a/src/geraniumbend/adapters/_load_probe.py
+++ b/src/geraniumbend/adapters/_load_probe.py
@@ -1,3 +1,5 @@
+"""On-demand probes of the load of backend servers."""
+
 from __future__ import annotations
 
 import json
--- a/src/geraniumbend/adapters/_local_disk.py
+++ b/src/geraniumbend/adapters/_local_disk.py
@@ -1,3 +1,5 @@
+"""File operations on the local disk."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_rpc_client.py
+++ b/src/geraniumbend/adapters/_rpc_client.py
@@ -1,3 +1,5 @@
+"""RPC clients of peers."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_rpc_frames.py
+++ b/src/geraniumbend/adapters/_rpc_frames.py
@@ -1,3 +1,5 @@
+"""Signed frames of RPC messages on a TCP connection."""
+
 from __future__ import annotations
 
 import os
--- a/src/geraniumbend/adapters/_rpc_server.py
+++ b/src/geraniumbend/adapters/_rpc_server.py
@@ -1,3 +1,5 @@
+"""RPC server for calls of other processes."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_silent_connections.py
+++ b/src/geraniumbend/adapters/_silent_connections.py
@@ -1,3 +1,5 @@
+"""Detection of silent connections, and safe resends."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/adapters/_sockets.py
+++ b/src/geraniumbend/adapters/_sockets.py
@@ -1,3 +1,5 @@
+"""Options of TCP sockets."""
+
 from __future__ import annotations
 
 import socket
--- a/src/geraniumbend/adapters/_token_authenticator.py
+++ b/src/geraniumbend/adapters/_token_authenticator.py
@@ -1,3 +1,5 @@
+"""Authentication of operators by bearer tokens."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -1,3 +1,5 @@
+"""Admission of requests up to the capacity of their group."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/admission/_demand.py
+++ b/src/geraniumbend/admission/_demand.py
@@ -1,3 +1,5 @@
+"""Estimates of the offered work by group and caller."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/admission/_ranked_queue.py
+++ b/src/geraniumbend/admission/_ranked_queue.py
@@ -1,3 +1,5 @@
+"""Queue of requests ordered by shedding rank."""
+
 from __future__ import annotations
 
 import itertools
--- a/src/geraniumbend/admission/_sheet_opens.py
+++ b/src/geraniumbend/admission/_sheet_opens.py
@@ -1,3 +1,5 @@
+"""Ranks and recent decisions of sheet opens."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
--- a/src/geraniumbend/admission/_threshold.py
+++ b/src/geraniumbend/admission/_threshold.py
@@ -1,3 +1,5 @@
+"""Highest shedding rank that is admitted."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/cli/_application.py
+++ b/src/geraniumbend/cli/_application.py
@@ -1,3 +1,5 @@
+"""Application and registry of the command line."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/src/geraniumbend/cli/_client.py
+++ b/src/geraniumbend/cli/_client.py
@@ -1,3 +1,5 @@
+"""Calls of the operators' API from the command line."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/cli/_cluster.py
+++ b/src/geraniumbend/cli/_cluster.py
@@ -1,3 +1,5 @@
+"""Commands on members, backups and restores."""
+
 from __future__ import annotations
 
 import json
--- a/src/geraniumbend/cli/_configuration.py
+++ b/src/geraniumbend/cli/_configuration.py
@@ -1,3 +1,5 @@
+"""Commands that read and change the configuration."""
+
 from __future__ import annotations
 
 import json
--- a/src/geraniumbend/cli/_monitoring.py
+++ b/src/geraniumbend/cli/_monitoring.py
@@ -1,3 +1,5 @@
+"""Commands that show the state of running processes."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/cli/_output.py
+++ b/src/geraniumbend/cli/_output.py
@@ -1,3 +1,5 @@
+"""Tables and JSON output of the commands."""
+
 from __future__ import annotations
 
 import json
--- a/src/geraniumbend/cli/_processes.py
+++ b/src/geraniumbend/cli/_processes.py
@@ -1,3 +1,5 @@
+"""Commands that run a role until a signal stops it."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/cli/_secrets.py
+++ b/src/geraniumbend/cli/_secrets.py
@@ -1,3 +1,5 @@
+"""Commands that create tokens and keys."""
+
 from __future__ import annotations
 
 import secrets
--- a/src/geraniumbend/cli/_settings.py
+++ b/src/geraniumbend/cli/_settings.py
@@ -1,3 +1,5 @@
+"""Commands on settings files."""
+
 from __future__ import annotations
 
 import tomllib
--- a/src/geraniumbend/configuration/_documents.py
+++ b/src/geraniumbend/configuration/_documents.py
@@ -1,3 +1,5 @@
+"""Conversion between model values and documents."""
+
 from __future__ import annotations
 
 import types
--- a/src/geraniumbend/configuration/_follower.py
+++ b/src/geraniumbend/configuration/_follower.py
@@ -1,3 +1,5 @@
+"""Subscription of a gateway to the configuration of a control host."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/configuration/_leader_relay.py
+++ b/src/geraniumbend/configuration/_leader_relay.py
@@ -1,3 +1,5 @@
+"""Forwarding of proposals and reads to the leader of the log."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/configuration/_notifier.py
+++ b/src/geraniumbend/configuration/_notifier.py
@@ -1,3 +1,5 @@
+"""Notification of waiting tasks."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/configuration/_operations.py
+++ b/src/geraniumbend/configuration/_operations.py
@@ -1,3 +1,5 @@
+"""Operations of a configuration change."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
--- a/src/geraniumbend/configuration/_operator_files.py
+++ b/src/geraniumbend/configuration/_operator_files.py
@@ -1,3 +1,5 @@
+"""Configuration files of operators, and the operations that they ask for."""
+
 from __future__ import annotations
 
 import tomllib
--- a/src/geraniumbend/configuration/_service.py
+++ b/src/geraniumbend/configuration/_service.py
@@ -1,3 +1,5 @@
+"""Configuration changes and reads at a control host."""
+
 from __future__ import annotations
 
 import time
--- a/src/geraniumbend/configuration/_store.py
+++ b/src/geraniumbend/configuration/_store.py
@@ -1,3 +1,5 @@
+"""State machine of the configuration log."""
+
 from __future__ import annotations
 
 import base64
--- a/src/geraniumbend/configuration/_subscriptions.py
+++ b/src/geraniumbend/configuration/_subscriptions.py
@@ -1,3 +1,5 @@
+"""Long polls of subscribers at a control host."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
--- a/src/geraniumbend/configuration/_validation.py
+++ b/src/geraniumbend/configuration/_validation.py
@@ -1,3 +1,5 @@
+"""Validation of operations independent of the replicated state."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/configuration/_view.py
+++ b/src/geraniumbend/configuration/_view.py
@@ -1,3 +1,5 @@
+"""Configuration that a process uses."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/limits/_allocators.py
+++ b/src/geraniumbend/limits/_allocators.py
@@ -1,3 +1,5 @@
+"""Choice of the gateway that allocates the permits of a server."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Protocol
--- a/src/geraniumbend/limits/_limit_table.py
+++ b/src/geraniumbend/limits/_limit_table.py
@@ -1,3 +1,5 @@
+"""Limits that a gateway knows."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/limits/_limited_server.py
+++ b/src/geraniumbend/limits/_limited_server.py
@@ -1,3 +1,5 @@
+"""Permits that a gateway holds for one limited server."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/limits/_messages.py
+++ b/src/geraniumbend/limits/_messages.py
@@ -1,3 +1,5 @@
+"""Messages between gateways about permits."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/limits/_permit_allocator.py
+++ b/src/geraniumbend/limits/_permit_allocator.py
@@ -1,3 +1,5 @@
+"""Allocation of the permits of one server."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/limits/_permit_exchange.py
+++ b/src/geraniumbend/limits/_permit_exchange.py
@@ -1,3 +1,5 @@
+"""Exchange of permits and limits between gateways."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/limits/_server_limits.py
+++ b/src/geraniumbend/limits/_server_limits.py
@@ -1,3 +1,5 @@
+"""Limits that backend servers name, kept by all gateways together."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/limits/_statements.py
+++ b/src/geraniumbend/limits/_statements.py
@@ -1,3 +1,5 @@
+"""Statements of servers about their limits."""
+
 from __future__ import annotations
 
 import re
--- a/src/geraniumbend/membership/_announcement_api.py
+++ b/src/geraniumbend/membership/_announcement_api.py
@@ -1,3 +1,5 @@
+"""HTTP API for announcements of backend servers."""
+
 from __future__ import annotations
 
 import ipaddress
--- a/src/geraniumbend/membership/_announcement_service.py
+++ b/src/geraniumbend/membership/_announcement_service.py
@@ -1,3 +1,5 @@
+"""Acknowledgement of announcements at a control host."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/membership/_anti_entropy.py
+++ b/src/geraniumbend/membership/_anti_entropy.py
@@ -1,3 +1,5 @@
+"""Comparison and exchange of records between two nodes."""
+
 from __future__ import annotations
 
 import random
--- a/src/geraniumbend/membership/_byte_budget.py
+++ b/src/geraniumbend/membership/_byte_budget.py
@@ -1,3 +1,5 @@
+"""Token bucket of the bytes that a node may send."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/membership/_cluster_joiner.py
+++ b/src/geraniumbend/membership/_cluster_joiner.py
@@ -1,3 +1,5 @@
+"""Transfer of the cluster state to a node that joins."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/membership/_departure_copies.py
+++ b/src/geraniumbend/membership/_departure_copies.py
@@ -1,3 +1,5 @@
+"""Copies of departures on the disks of a majority of the voters."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/membership/_departure_log.py
+++ b/src/geraniumbend/membership/_departure_log.py
@@ -1,3 +1,5 @@
+"""Departures on the disk of one control host."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/membership/_departure_sender.py
+++ b/src/geraniumbend/membership/_departure_sender.py
@@ -1,3 +1,5 @@
+"""Storage of departures that a gateway received."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/membership/_eligible_servers.py
+++ b/src/geraniumbend/membership/_eligible_servers.py
@@ -1,3 +1,5 @@
+"""Backend servers that may receive requests."""
+
 from __future__ import annotations
 
 from collections import Counter, deque
--- a/src/geraniumbend/membership/_failure_detector.py
+++ b/src/geraniumbend/membership/_failure_detector.py
@@ -1,3 +1,5 @@
+"""SWIM failure detector."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/membership/_gateway_shares.py
+++ b/src/geraniumbend/membership/_gateway_shares.py
@@ -1,3 +1,5 @@
+"""Share of a gateway in limits that all gateways divide."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/membership/_gossip.py
+++ b/src/geraniumbend/membership/_gossip.py
@@ -1,3 +1,5 @@
+"""Gossip of changes within a byte budget."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/membership/_gossip_peers.py
+++ b/src/geraniumbend/membership/_gossip_peers.py
@@ -1,3 +1,5 @@
+"""Choice of the peers of a gossip round."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
--- a/src/geraniumbend/membership/_members.py
+++ b/src/geraniumbend/membership/_members.py
@@ -1,3 +1,5 @@
+"""Processes of the cluster and their states."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -1,3 +1,5 @@
+"""Membership of a process: members, backend servers and published records."""
+
 from __future__ import annotations
 
 import random
--- a/src/geraniumbend/membership/_notices.py
+++ b/src/geraniumbend/membership/_notices.py
@@ -1,3 +1,5 @@
+"""Notices to gateways that are sent until they acknowledge."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/membership/_pause_recovery.py
+++ b/src/geraniumbend/membership/_pause_recovery.py
@@ -1,3 +1,5 @@
+"""Detection of pauses of the process, and what follows them."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/membership/_published_records.py
+++ b/src/geraniumbend/membership/_published_records.py
@@ -1,3 +1,5 @@
+"""Records that components publish to all nodes."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/membership/_rate_totals.py
+++ b/src/geraniumbend/membership/_rate_totals.py
@@ -1,3 +1,5 @@
+"""Sums of rates over the gateways of all failure domains."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/membership/_record_batches.py
+++ b/src/geraniumbend/membership/_record_batches.py
@@ -1,3 +1,5 @@
+"""Compressed batches of records."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/membership/_records.py
+++ b/src/geraniumbend/membership/_records.py
@@ -1,3 +1,5 @@
+"""Versioned records and their digests."""
+
 from __future__ import annotations
 
 import heapq
--- a/src/geraniumbend/membership/_server_directory.py
+++ b/src/geraniumbend/membership/_server_directory.py
@@ -1,3 +1,5 @@
+"""Leases and records of backend servers."""
+
 from __future__ import annotations
 
 import struct
--- a/src/geraniumbend/membership/_server_records.py
+++ b/src/geraniumbend/membership/_server_records.py
@@ -1,3 +1,5 @@
+"""Content of the records of backend servers."""
+
 from __future__ import annotations
 
 from typing import NamedTuple
--- a/src/geraniumbend/membership/_server_records_file.py
+++ b/src/geraniumbend/membership/_server_records_file.py
@@ -1,3 +1,5 @@
+"""Copy of the backend server records on disk."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/membership/_synchronisation.py
+++ b/src/geraniumbend/membership/_synchronisation.py
@@ -1,3 +1,5 @@
+"""Schedule of anti-entropy with peers."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/orders/_client.py
+++ b/src/geraniumbend/orders/_client.py
@@ -1,3 +1,5 @@
+"""Claims of order keys by a gateway."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/orders/_journal.py
+++ b/src/geraniumbend/orders/_journal.py
@@ -1,3 +1,5 @@
+"""State machine of an order log."""
+
 from __future__ import annotations
 
 from collections import OrderedDict, deque
--- a/src/geraniumbend/orders/_service.py
+++ b/src/geraniumbend/orders/_service.py
@@ -1,3 +1,5 @@
+"""RPC methods for orders at a control host."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any, NamedTuple
--- a/src/geraniumbend/orders/_shards.py
+++ b/src/geraniumbend/orders/_shards.py
@@ -1,3 +1,5 @@
+"""Choice of the log that holds the key of an order."""
+
 from __future__ import annotations
 
 import xxhash
--- a/src/geraniumbend/platform/_configuration.py
+++ b/src/geraniumbend/platform/_configuration.py
@@ -1,3 +1,5 @@
+"""Translation of the platform's configuration document."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
--- a/src/geraniumbend/platform/_dialect.py
+++ b/src/geraniumbend/platform/_dialect.py
@@ -1,3 +1,5 @@
+"""Header fields of the platform."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/platform/_heartbeats.py
+++ b/src/geraniumbend/platform/_heartbeats.py
@@ -1,3 +1,5 @@
+"""Translation of the heartbeats of instances."""
+
 from __future__ import annotations
 
 import ipaddress
--- a/src/geraniumbend/platform/_listener.py
+++ b/src/geraniumbend/platform/_listener.py
@@ -1,3 +1,5 @@
+"""The platform's HTTP API for instances and operators."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/platform/_settings.py
+++ b/src/geraniumbend/platform/_settings.py
@@ -1,3 +1,5 @@
+"""Translation of the platform's settings file."""
+
 from __future__ import annotations
 
 import os
--- a/src/geraniumbend/platform/_wire.py
+++ b/src/geraniumbend/platform/_wire.py
@@ -1,3 +1,5 @@
+"""Documents of the platform's API."""
+
 from __future__ import annotations
 
 import re
--- a/src/geraniumbend/proxying/_attempt.py
+++ b/src/geraniumbend/proxying/_attempt.py
@@ -1,3 +1,5 @@
+"""One attempt of a request at one backend server."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -1,3 +1,5 @@
+"""Attempts of a request until one gets a response."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/proxying/_context.py
+++ b/src/geraniumbend/proxying/_context.py
@@ -1,3 +1,5 @@
+"""State of a request while it is handled."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/proxying/_dialect.py
+++ b/src/geraniumbend/proxying/_dialect.py
@@ -1,3 +1,5 @@
+"""Header fields towards callers and backend servers."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/proxying/_headers.py
+++ b/src/geraniumbend/proxying/_headers.py
@@ -1,3 +1,5 @@
+"""Header lines that are passed on, and request ids."""
+
 from __future__ import annotations
 
 import os
--- a/src/geraniumbend/proxying/_hedge.py
+++ b/src/geraniumbend/proxying/_hedge.py
@@ -1,3 +1,5 @@
+"""Hedged attempts of a request."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/proxying/_latencies.py
+++ b/src/geraniumbend/proxying/_latencies.py
@@ -1,3 +1,5 @@
+"""Recent latencies until the head of a response."""
+
 from __future__ import annotations
 
 # Samples that are kept of each group and request class.
--- a/src/geraniumbend/proxying/_order_executor.py
+++ b/src/geraniumbend/proxying/_order_executor.py
@@ -1,3 +1,5 @@
+"""Orders that run at most once."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/proxying/_peer_forwarder.py
+++ b/src/geraniumbend/proxying/_peer_forwarder.py
@@ -1,3 +1,5 @@
+"""Forwarding of requests through other gateways."""
+
 from __future__ import annotations
 
 import random
--- a/src/geraniumbend/proxying/_planned_stop.py
+++ b/src/geraniumbend/proxying/_planned_stop.py
@@ -1,3 +1,5 @@
+"""Times of a planned stop of the gateway."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -1,3 +1,5 @@
+"""Ports between the data path and its adapters."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Literal, NamedTuple, Protocol
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -1,3 +1,5 @@
+"""Handling of a request from end to end."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/proxying/_refusals.py
+++ b/src/geraniumbend/proxying/_refusals.py
@@ -1,3 +1,5 @@
+"""Responses of refused requests."""
+
 from __future__ import annotations
 
 import json
--- a/src/geraniumbend/proxying/_relay.py
+++ b/src/geraniumbend/proxying/_relay.py
@@ -1,3 +1,5 @@
+"""Streaming of responses to callers."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/proxying/_request_log.py
+++ b/src/geraniumbend/proxying/_request_log.py
@@ -1,3 +1,5 @@
+"""Rate-limited log lines about single requests."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/quarantine/_quarantine.py
+++ b/src/geraniumbend/quarantine/_quarantine.py
@@ -1,3 +1,5 @@
+"""Quarantine of requests that crash backend servers."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/quarantine/_suspect_requests.py
+++ b/src/geraniumbend/quarantine/_suspect_requests.py
@@ -1,3 +1,5 @@
+"""Requests with the servers that were lost while running them."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/reachability/_group_link.py
+++ b/src/geraniumbend/reachability/_group_link.py
@@ -1,3 +1,5 @@
+"""Evidence of the link to the servers of one group."""
+
 from __future__ import annotations
 
 from typing import NamedTuple
--- a/src/geraniumbend/reachability/_lost_links.py
+++ b/src/geraniumbend/reachability/_lost_links.py
@@ -1,3 +1,5 @@
+"""Lost links that other gateways publish."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Protocol
--- a/src/geraniumbend/reachability/_reachability.py
+++ b/src/geraniumbend/reachability/_reachability.py
@@ -1,3 +1,5 @@
+"""Decision whether a gateway has lost its links to a group."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any, Literal
--- a/src/geraniumbend/replication/_backup.py
+++ b/src/geraniumbend/replication/_backup.py
@@ -1,3 +1,5 @@
+"""Backups of a log, and clusters restored from them."""
+
 from __future__ import annotations
 
 import secrets
--- a/src/geraniumbend/replication/_client.py
+++ b/src/geraniumbend/replication/_client.py
@@ -1,3 +1,5 @@
+"""Calls of the leader of a log from another process."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/replication/_core.py
+++ b/src/geraniumbend/replication/_core.py
@@ -1,3 +1,5 @@
+"""Raft state of one replica."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_disk_recovery.py
+++ b/src/geraniumbend/replication/_disk_recovery.py
@@ -1,3 +1,5 @@
+"""Return of a replica whose disk refused a write."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_elections.py
+++ b/src/geraniumbend/replication/_elections.py
@@ -1,3 +1,5 @@
+"""Raft elections with pre-votes."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_entries.py
+++ b/src/geraniumbend/replication/_entries.py
@@ -1,3 +1,5 @@
+"""Entries of the log, in memory and encoded."""
+
 from __future__ import annotations
 
 import struct
--- a/src/geraniumbend/replication/_events.py
+++ b/src/geraniumbend/replication/_events.py
@@ -1,3 +1,5 @@
+"""Log events of replication."""
+
 from __future__ import annotations
 
 from geraniumbend.logs import declare_event
--- a/src/geraniumbend/replication/_files.py
+++ b/src/geraniumbend/replication/_files.py
@@ -1,3 +1,5 @@
+"""Files of a replica."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any, NamedTuple
--- a/src/geraniumbend/replication/_follower.py
+++ b/src/geraniumbend/replication/_follower.py
@@ -1,3 +1,5 @@
+"""Follower role of a replica."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
--- a/src/geraniumbend/replication/_handlers.py
+++ b/src/geraniumbend/replication/_handlers.py
@@ -1,3 +1,5 @@
+"""RPC methods of a replica."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_leader.py
+++ b/src/geraniumbend/replication/_leader.py
@@ -1,3 +1,5 @@
+"""Leader role of a replica."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_members.py
+++ b/src/geraniumbend/replication/_members.py
@@ -1,3 +1,5 @@
+"""Member lists of a log."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any, NamedTuple
--- a/src/geraniumbend/replication/_membership_changes.py
+++ b/src/geraniumbend/replication/_membership_changes.py
@@ -1,3 +1,5 @@
+"""Changes of the member list by the leader."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_messages.py
+++ b/src/geraniumbend/replication/_messages.py
@@ -1,3 +1,5 @@
+"""Calls between replicas."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_peers.py
+++ b/src/geraniumbend/replication/_peers.py
@@ -1,3 +1,5 @@
+"""Replication from the leader to one member."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_records.py
+++ b/src/geraniumbend/replication/_records.py
@@ -1,3 +1,5 @@
+"""Checksummed records in the files of a replica."""
+
 from __future__ import annotations
 
 import struct
--- a/src/geraniumbend/replication/_repair.py
+++ b/src/geraniumbend/replication/_repair.py
@@ -1,3 +1,5 @@
+"""Repair of the files of a replica after a failed write."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/replication/_replica.py
+++ b/src/geraniumbend/replication/_replica.py
@@ -1,3 +1,5 @@
+"""Public interface of one replica of a log."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_startup.py
+++ b/src/geraniumbend/replication/_startup.py
@@ -1,3 +1,5 @@
+"""Loading of a stored log, and formation of a new one."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/replication/_storage.py
+++ b/src/geraniumbend/replication/_storage.py
@@ -1,3 +1,5 @@
+"""Durable storage of one replica."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/retries/_budget.py
+++ b/src/geraniumbend/retries/_budget.py
@@ -1,3 +1,5 @@
+"""Budget of retries and hedges over all gateways."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -1,3 +1,5 @@
+"""Control role, assembled from settings."""
+
 from __future__ import annotations
 
 import contextlib
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -1,3 +1,5 @@
+"""Gateway role, assembled from settings."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/roles/_gateway_links.py
+++ b/src/geraniumbend/roles/_gateway_links.py
@@ -1,3 +1,5 @@
+"""Links of a gateway to the backend servers."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
--- a/src/geraniumbend/roles/_link_watch.py
+++ b/src/geraniumbend/roles/_link_watch.py
@@ -1,3 +1,5 @@
+"""Checks of lost links, and their publication."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/roles/_log_members.py
+++ b/src/geraniumbend/roles/_log_members.py
@@ -1,3 +1,5 @@
+"""Changes of the members of all logs."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
--- a/src/geraniumbend/roles/_member_reconciler.py
+++ b/src/geraniumbend/roles/_member_reconciler.py
@@ -1,3 +1,5 @@
+"""Reconciliation of log members with live control hosts."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/roles/_peer_sessions.py
+++ b/src/geraniumbend/roles/_peer_sessions.py
@@ -1,3 +1,5 @@
+"""Sessions in which gateways forward requests to each other."""
+
 from __future__ import annotations
 
 import secrets
--- a/src/geraniumbend/routing/_costs.py
+++ b/src/geraniumbend/routing/_costs.py
@@ -1,3 +1,5 @@
+"""Measured costs of request classes."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/routing/_free_slot_finder.py
+++ b/src/geraniumbend/routing/_free_slot_finder.py
@@ -1,3 +1,5 @@
+"""Search for servers with a free slot by on-demand probes."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/routing/_limited_servers.py
+++ b/src/geraniumbend/routing/_limited_servers.py
@@ -1,3 +1,5 @@
+"""Choice among servers that name limits."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Protocol
--- a/src/geraniumbend/routing/_load_reports.py
+++ b/src/geraniumbend/routing/_load_reports.py
@@ -1,3 +1,5 @@
+"""Load reports of backend servers."""
+
 from __future__ import annotations
 
 import json
--- a/src/geraniumbend/routing/_on_demand_probes.py
+++ b/src/geraniumbend/routing/_on_demand_probes.py
@@ -1,3 +1,5 @@
+"""Probes right before a request is sent."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/routing/_periodic_probes.py
+++ b/src/geraniumbend/routing/_periodic_probes.py
@@ -1,3 +1,5 @@
+"""Periodic probes within a budget."""
+
 from __future__ import annotations
 
 import asyncio
--- a/src/geraniumbend/routing/_policies.py
+++ b/src/geraniumbend/routing/_policies.py
@@ -1,3 +1,5 @@
+"""Registry of routing policies."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple, Protocol
--- a/src/geraniumbend/routing/_pools.py
+++ b/src/geraniumbend/routing/_pools.py
@@ -1,3 +1,5 @@
+"""Pools of a group for short and long requests."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -1,3 +1,5 @@
+"""Choice of a backend server for each attempt."""
+
 from __future__ import annotations
 
 import random
--- a/src/geraniumbend/routing/_rules.py
+++ b/src/geraniumbend/routing/_rules.py
@@ -1,3 +1,5 @@
+"""Matching of requests against the rules of a configuration."""
+
 from __future__ import annotations
 
 import re
--- a/src/geraniumbend/routing/_selector_index.py
+++ b/src/geraniumbend/routing/_selector_index.py
@@ -1,3 +1,5 @@
+"""Index of groups by the labels that they select."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/routing/_selectors.py
+++ b/src/geraniumbend/routing/_selectors.py
@@ -1,3 +1,5 @@
+"""Grammar of label selectors."""
+
 from __future__ import annotations
 
 import re
--- a/src/geraniumbend/routing/_server_table.py
+++ b/src/geraniumbend/routing/_server_table.py
@@ -1,3 +1,5 @@
+"""Members of all groups with their statistics."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/routing/_server_views.py
+++ b/src/geraniumbend/routing/_server_views.py
@@ -1,3 +1,5 @@
+"""Statistics of one backend server in this gateway."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/routing/_splits.py
+++ b/src/geraniumbend/routing/_splits.py
@@ -1,3 +1,5 @@
+"""Distribution of requests over groups by weight."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/routing/_subsets.py
+++ b/src/geraniumbend/routing/_subsets.py
@@ -1,3 +1,5 @@
+"""Subsets of large groups."""
+
 from __future__ import annotations
 
 import math
--- a/src/geraniumbend/routing/_trial_requests.py
+++ b/src/geraniumbend/routing/_trial_requests.py
@@ -1,3 +1,5 @@
+"""Occasional requests to avoided servers."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
--- a/src/geraniumbend/wire/_codec.py
+++ b/src/geraniumbend/wire/_codec.py
@@ -1,3 +1,5 @@
+"""Thrift structs and their encoding."""
+
 from __future__ import annotations
 
 from functools import cache
--- a/src/geraniumbend/wire/_compression.py
+++ b/src/geraniumbend/wire/_compression.py
@@ -1,3 +1,5 @@
+"""Compression of messages."""
+
 from __future__ import annotations
 
 import zlib
--- a/src/geraniumbend/wire/_documents.py
+++ b/src/geraniumbend/wire/_documents.py
@@ -1,3 +1,5 @@
+"""Decoding of JSON documents from outside."""
+
 from __future__ import annotations
 
 from typing import Any, TypeVar
--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the project that are run from the Makefile."""
