Log why processes end, what a start waits for and what a leader cannot commit

An exception that is none of ours gave a traceback without an event, a start that lasts and a leader that cannot commit wrote nothing.

This adds, without a change of logic: - 907 for every way out after the settings are read: typed errors, other exceptions, lack of memory or threads, signals that can be caught; one line on standard error as well, and the log is flushed before the exit. An unexpected exception has exit code 70, lack of a resource of the system 71 (both were 1, with a traceback). 908 for exceptions of tasks, threads and finalizers that nothing handles. - 906 with build, pid, limits and usage at the start. - 930 for each stage of a start, 931 with what a stage waits for after 2 s and then at growing intervals; the same under `start` in state dumps and `/state`. - 511 for a leader that commits nothing for 2 s, with the voters whose copies are missing and why; 512 for a log that is read, 513 for a founder that finds that others have begun.

--- a/src/geraniumbend/_logs.py
+++ b/src/geraniumbend/_logs.py
@@ -243,3 +243,10 @@
     LOGGER.handlers = [handler]
     LOGGER.propagate = False
     LOGGER.setLevel(LEVELS[level])
+
+
+def close_logs() -> None:
+    """Write all queued lines; later ones are not written."""
+    for handler in LOGGER.handlers:
+        handler.close()
+    LOGGER.handlers = [logging.NullHandler()]
--- a/src/geraniumbend/cli/_processes.py
+++ b/src/geraniumbend/cli/_processes.py
@@ -10,9 +10,15 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from geraniumbend._process_resources import (
+    describe_build,
+    read_limits,
+    read_usage,
+)
 from geraniumbend.certificates import skip_system_certificates
 from geraniumbend.cli._application import commands
 from geraniumbend.errors import GeraniumbendError
+from geraniumbend.exits import report_unhandled
 from geraniumbend.logs import configure_logs, declare_event, log_event
 from geraniumbend.registries import Registry
 from geraniumbend.settings import load_settings
@@ -44,6 +50,13 @@
     "error",
     "The changed settings file cannot be used; the process keeps its settings.",
 )
+declare_event(
+    906,
+    "process_starts",
+    "info",
+    "The process has read its settings; it names the build, its limits and what it "
+    "uses of them.",
+)
 declare_event(903, "process_state", "info", "State dump, asked for by SIGUSR1.")
 
 
@@ -145,12 +158,27 @@
 
     settings = load_settings(path)
     configure_logs(settings.node.name, settings.node.log_level)
+    log_event(
+        906,
+        role=role,
+        pid=os.getpid(),
+        **describe_build(),
+        limits=read_limits(),
+        usage=read_usage(),
+    )
 
     async def serve() -> None:
         stopping = asyncio.Event()
+        received: list[str] = []
+
+        def begin_stop(number: int) -> None:
+            received.append(signal.Signals(number).name)
+            stopping.set()
+
         loop = asyncio.get_running_loop()
+        report_unhandled(loop)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, stopping.set)
+            loop.add_signal_handler(signal_number, begin_stop, signal_number)
         process = build(settings)
         loop.add_signal_handler(
             signal.SIGUSR1, lambda: log_event(903, role=role, state=process.dump())
@@ -165,9 +193,9 @@
         gc.enable()
         log_event(900, role=role)
         await stopping.wait()
-        log_event(901, role=role)
+        log_event(901, role=role, signal=received[0])
         await process.stop()
-        log_event(902, role=role)
+        log_event(902, role=role, exit_code=0)
 
     uvloop.run(serve())
     return 0
--- a/src/geraniumbend/configuration/_follower.py
+++ b/src/geraniumbend/configuration/_follower.py
@@ -102,6 +102,8 @@
         self._view = view
         self._timers = timers
         self._failed_hosts: set[str] = set()
+        # Why the newest poll of each host failed.
+        self._errors: dict[str, str] = {}
         self._failures = 0
         self._task: asyncio.Task[None] | None = None
         self._probe_timer: Subscription | None = None
@@ -153,6 +155,13 @@
             "failed_control_hosts": sorted(self._failed_hosts),
         }
 
+    def describe_failures(self) -> dict[str, str]:
+        """Return by control host why its newest poll failed, or that it did not."""
+        return {
+            host: self._errors.get(host, "has not answered yet")
+            for host in self._ranked_hosts
+        }
+
     async def _follow(self) -> None:
         await self._fetch_initial()
         while await self._wait_for_hosts():
@@ -243,6 +252,7 @@
     def _record_failure(self, host: str, error: GeraniumbendError) -> None:
         self._failures += 1
         self._failed_hosts.add(host)
+        self._errors[host] = error.message
         if self._failures <= len(self._ranked_hosts):
             log_event(601, host=host, error=str(error))
 
@@ -302,6 +312,7 @@
                 "the subscription restarts at another control host",
             )
         self.confirmed = True
+        self._errors.pop(host, None)
         self._view.confirm()
         if self._view.install(current):
             log_event(
--- a/src/geraniumbend/replication/_core.py
+++ b/src/geraniumbend/replication/_core.py
@@ -168,6 +168,11 @@
             and not self.vote_state.lost
         )
 
+    def required_copies(self) -> int:
+        """Return how many voters must hold an entry on disk before it commits."""
+        copies = min(self.min_durable_copies, len(self.members.voters()))
+        return max(self.members.majority(), copies)
+
     def can_vote(self) -> bool:
         """Return whether this replica may vote and become leader.
 
--- a/src/geraniumbend/replication/_events.py
+++ b/src/geraniumbend/replication/_events.py
@@ -34,6 +34,22 @@
     "warning",
     "No majority votes for this replica; missing tells why each voter does not.",
 )
+declare_event(
+    511,
+    "commit_waits",
+    "warning",
+    "This leader commits nothing; missing tells why each voter's copy does not count.",
+)
+declare_event(
+    512, "log_loaded", "info", "The files of a log were read, or created if absent."
+)
+declare_event(
+    513,
+    "log_not_formed",
+    "warning",
+    "Another first voter has a log already; this host waits until its leader makes it "
+    "a voter.",
+)
 declare_event(
     510, "replica_recovered", "info", "The disk takes writes again after a failed one."
 )
--- a/src/geraniumbend/replication/_leader.py
+++ b/src/geraniumbend/replication/_leader.py
@@ -18,6 +18,7 @@
 from geraniumbend.replication._members import MemberSet, encode_members
 from geraniumbend.replication._messages import build_request, call_peer
 from geraniumbend.replication._peers import NEVER, Peer
+from geraniumbend.replication._waits import CommitWatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,6 +55,7 @@
         self.on_heartbeat: Callable[[], None] = _ignore
         self._lease_waiters: list[asyncio.Future[None]] = []
         self._closing: set[asyncio.Task[None]] = set()
+        self._commit_watch = CommitWatch(core, self.describe_missing_copies)
         core.on_step_down = self._stop
         core.on_written = self.advance_commit
 
@@ -169,15 +171,32 @@
             (self._match_index_of(member) for member in core.members.voters()),
             reverse=True,
         )
-        required_copies = max(
-            core.members.majority(), min(core.min_durable_copies, len(match_indexes))
-        )
-        index = match_indexes[required_copies - 1]
+        index = match_indexes[core.required_copies() - 1]
         # Entries of earlier terms commit only together with one of this term (Raft,
         # section 5.4.2).
         if index > core.commit_index and core.log.term_at(index) == core.term:
             core.commit(index)
 
+    def describe_missing_copies(self) -> dict[str, str]:
+        """Return by voter why its copy of the last entry does not count yet."""
+        last_index = self._core.log.last_index
+        return {
+            member.name: self._explain_missing_copy(member)
+            for member in self._core.members.voters()
+            if self._match_index_of(member) < last_index
+        }
+
+    def _explain_missing_copy(self, member: Member) -> str:
+        if member.name == self._core.node:
+            return "its own write is not durable yet"
+        peer = self.peers.get(member.name)
+        if peer is None or peer.incarnation is None:
+            error = "" if peer is None else peer.last_error
+            return error or "has not answered yet"
+        if peer.incarnation != member.incarnation:
+            return "has lost its log"
+        return peer.last_error or f"holds entries up to {peer.match_index}"
+
     def lease_until(self) -> float:
         """Return the end of the leader lease, in seconds of the local clock.
 
@@ -329,6 +348,7 @@
                 return
             for peer in self.peers.values():
                 peer.wake(is_heartbeat=True)
+            self._commit_watch.check()
             self.on_heartbeat()
             await core.timers.sleep(core.heartbeat_s)
 
--- a/src/geraniumbend/replication/_peers.py
+++ b/src/geraniumbend/replication/_peers.py
@@ -48,6 +48,8 @@
         # Local time at which the newest acknowledged message was sent.
         self.acknowledged_at = NEVER
         self.incarnation: int | None = None
+        # Why the newest append failed, empty if it succeeded.
+        self.last_error = ""
         self._core = core
         self._term = core.term
         self._on_progress = on_progress
@@ -139,12 +141,14 @@
                 "AppendResponse",
                 core.election_timeout_s,
             )
-        except GeraniumbendError:
+        except GeraniumbendError as error:
+            self.last_error = error.message
             self._probe_from(self.match_index + 1)
             self._is_paused = True
             return
         if not await self._accept_response(response, sent_at):
             return
+        self.last_error = ""
         if response.success:
             self._is_probing = False
             self.match_index = max(self.match_index, response.match_index)
--- a/src/geraniumbend/replication/_replica.py
+++ b/src/geraniumbend/replication/_replica.py
@@ -8,6 +8,7 @@
 
 from geraniumbend.adapters.disk import LocalDisk
 from geraniumbend.errors import UnavailableError
+from geraniumbend.logs import log_event
 from geraniumbend.replication._core import Core
 from geraniumbend.replication._elections import Elections
 from geraniumbend.replication._entries import MEMBERS
@@ -18,6 +19,7 @@
 from geraniumbend.replication._membership_changes import MembershipChanges
 from geraniumbend.replication._messages import call_peer, cancel_tasks
 from geraniumbend.replication._startup import Startup
+from geraniumbend.replication._waits import describe_waits
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -165,7 +167,9 @@
             written by a newer release.
         """
         core = self._core
+        load_start = core.timers.now()
         stored = await self._startup.load()
+        load_s = core.timers.now() - load_start
         if stored.vote_state is not None:
             core.vote_state = core.saved_vote_state = stored.vote_state
         if core.vote_state.formed:
@@ -181,6 +185,16 @@
             core.vote_state = core.vote_state._replace(
                 cluster_id=core.members.cluster_id
             )
+        log_event(
+            512,
+            shard=self.shard,
+            took_s=round(load_s, 3),
+            entries=len(stored.entries),
+            snapshot_index=core.snapshot_index,
+            term=core.term,
+            formed=core.vote_state.formed,
+            lost=stored.is_lost,
+        )
         core.disk_recovery.enable()
         contact_at = self._process_started_at
         if contact_at is None:
@@ -294,6 +308,17 @@
         """Return the index of the last entry known to be committed."""
         return self._core.commit_index
 
+    @property
+    def is_formed(self) -> bool:
+        """Return whether the members of the log are known to this replica."""
+        return bool(self._core.members.members)
+
+    def describe_waits(self) -> dict[str, Any] | None:
+        """Return what the replica waits for, with reasons; None if for nothing."""
+        if not self._is_running:
+            return {"files": "are not read yet"}
+        return describe_waits(self._core, self._startup, self._leading)
+
     @property
     def epoch(self) -> int:
         """Return how many restores from a backup led to this cluster."""
@@ -397,6 +422,8 @@
             "syncs": core.storage.syncs,
             "writes": core.storage.last_written,
             "failure": str(core.failure) if core.failure else None,
+            "vote_save_s": round(core.vote_save_s, 3),
+            "waits_for": self.describe_waits(),
             "members": [member._asdict() for member in self.members()],
         }
 
--- a/src/geraniumbend/replication/_startup.py
+++ b/src/geraniumbend/replication/_startup.py
@@ -38,6 +38,8 @@
         self._core = core
         self._voters = dict(voters)
         self._may_bootstrap = may_bootstrap
+        # Why each other first voter keeps the log from being formed.
+        self.missing_founders: dict[str, str] = {}
 
     async def load(self) -> StoredState:
         """Read the files of the replica and create them in an empty folder.
@@ -93,14 +95,19 @@
             responses = await asyncio.gather(
                 *(self._request_status(address) for address in others)
             )
-            if any(
-                response is not None and not response.is_empty for response in responses
-            ):
+            begun = [
+                address
+                for address, response in zip(others, responses, strict=True)
+                if response is not None and not response.is_empty
+            ]
+            if begun:
+                log_event(513, shard=core.shard, begun=begun)
                 return
             if all(responses) and core.is_empty:
                 vote_state = core.vote_state._replace(incarnation=0, formed=True)
                 core.member_sets = [(0, initial_members(self._voters.items()))]
                 await core.save_vote_state(vote_state)
+                self.missing_founders = {}
                 log_event(508, shard=core.shard, voters=sorted(self._voters))
                 return
             await core.timers.sleep(core.heartbeat_s)
@@ -108,8 +115,14 @@
     async def _request_status(self, address: str) -> Any:
         core = self._core
         try:
-            return await call_peer(
+            response = await call_peer(
                 core, address, "status", None, "StatusResponse", core.election_timeout_s
             )
-        except GeraniumbendError:
+        except GeraniumbendError as error:
+            self.missing_founders[address] = error.message
             return None
+        if response.is_empty:
+            self.missing_founders.pop(address, None)
+        else:
+            self.missing_founders[address] = "has a log already"
+        return response
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -26,6 +26,7 @@
 from geraniumbend.orders import OrderJournal, OrderService, OrderShard
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.replication import Replica
+from geraniumbend.roles._control_stages import create_control_stages
 from geraniumbend.roles._log_members import LogMembers
 from geraniumbend.roles._member_reconciler import MemberReconciler
 from geraniumbend.routing import policies
@@ -133,6 +134,9 @@
             None if listen_metrics is None else MetricsListener(listen_metrics, self)
         )
         self._bootstrap_timer: Subscription | None = None
+        self._stages = create_control_stages(
+            settings, self._replicas, self._store, timers
+        )
         parts: list[Any] = [
             *self._replicas,
             self._membership,
@@ -152,9 +156,13 @@
 
     async def start(self) -> None:
         """Load the logs, join the cluster and listen for peers and operators."""
+        self._stages.start()
+        self._stages.reach("settings_read")
         await self._rpc.start()
+        self._stages.reach("peer_port_open", port=self._rpc.port)
         for replica in self._replicas:
             await replica.start()
+        self._stages.reach("logs_loaded", logs=len(self._replicas))
         await self._membership.start()
         departures = await self._departure_log.load()
         self._membership.restore_servers([*self._directory.load(), *departures])
@@ -167,10 +175,12 @@
         await self._api.start()
         if self._metrics_listener is not None:
             await self._metrics_listener.start()
+        self._stages.reach("operators_listening")
         await self._bootstrap()
 
     async def stop(self) -> None:
         """Hand over leadership and close all listeners."""
+        self._stages.stop()
         if self._bootstrap_timer is not None:
             self._bootstrap_timer.cancel()
         await self._api.stop()
@@ -196,6 +206,7 @@
         return {
             "node": self._settings.node.name,
             "role": "control",
+            "start": self._stages.dump(),
             "traffic": self._traffic.dump(),
             "configuration": self._service.dump(),
             "orders": self._orders.dump(),
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -30,6 +30,7 @@
 from geraniumbend.reachability import SILENCE_S
 from geraniumbend.retries import RetryBudget
 from geraniumbend.roles._gateway_links import GatewayLinks
+from geraniumbend.roles._gateway_stages import create_gateway_stages
 from geraniumbend.roles._peer_sessions import PeerSessions
 from geraniumbend.routing import (
     LoadReport,
@@ -209,6 +210,9 @@
         self._loads_timer = Subscription()
         self._listening = False
         self._start_timer: Subscription | None = None
+        self._stages = create_gateway_stages(
+            settings, self._membership, self._follower, timers
+        )
         self._certificates = [
             certificates
             for certificates in (
@@ -230,8 +234,12 @@
 
     async def start(self) -> None:
         """Join the cluster, follow the configuration and listen for callers."""
+        self._stages.start()
+        self._stages.reach("settings_read")
         await self._rpc.start()
+        self._stages.reach("peer_port_open", port=self._rpc.port)
         await self._announce_listener.start()
+        self._stages.reach("ready_port_open", port=self._announce_listener.port)
         self._follower.start()
         await self._membership.start()
         self._rate_totals.start()
@@ -257,6 +265,7 @@
         so that the load balancer in front of it selects other gateways first.
         """
         self._draining = True
+        self._stages.stop()
         if self._start_timer is not None:
             self._start_timer.cancel()
         self._caller_listener.begin_drain()
@@ -301,6 +310,7 @@
         return {
             "ready": self.is_ready(),
             "draining": self._draining,
+            "start": self._stages.dump(),
             "configuration": self._follower.dump(),
             "requests_in_flight": self._caller_listener.in_flight(),
             "orders_in_flight": self._proxy.orders_in_flight(),
@@ -330,9 +340,12 @@
         if not (self._follower.confirmed and servers_known):
             self._start_timer = self._timers.after(START_POLL_S, self._start_listening)
             return
+        self._stages.check()
+        self._stages.reach("servers_known", servers=len(self._membership.servers()))
         await self._forward_listener.start()
         await self._caller_listener.start()
         self._listening = True
+        self._stages.reach("ready", port=self._caller_listener.port)
 
     def _list_control_hosts(self) -> list[str]:
         """Return the peer addresses of the live control hosts, else of all known ones.
--- a/src/geraniumbend/run.py
+++ b/src/geraniumbend/run.py
@@ -3,20 +3,19 @@
 from __future__ import annotations
 
 import gc
-import os
 import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from geraniumbend import timers  # noqa: F401  (records the start time)
-from geraniumbend.errors import GeraniumbendError
+from geraniumbend.exits import report_end
+from geraniumbend.logs import close_logs
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
 USAGE_EXIT_CODE = 2
-INTERRUPT_EXIT_CODE = 130
 # Commands that run without the command line library, which would add to the resident
 # memory of every host.
 PROCESS_COMMANDS = ("control", "gateway")
@@ -78,10 +77,7 @@
 def _report_errors(call: Callable[[], int]) -> int:
     try:
         return call()
-    except GeraniumbendError as error:
-        if os.environ.get("GERANIUMBEND_TRACEBACK"):
-            raise
-        print(f"error: {error}", file=sys.stderr)
-        return error.exit_code
-    except KeyboardInterrupt:
-        return INTERRUPT_EXIT_CODE
+    except (Exception, KeyboardInterrupt) as error:
+        return report_end(error)
+    finally:
+        close_logs()
