Bound the address space that threads reserve

Cause: glibc reserves 64 MiB of addresses for the allocator arena of each thread (128 MiB for a moment) and 8 MiB for its stack.

Why it works: the C library keeps one arena, stacks take 1 MiB, and libuv, whose four threads only resolve the addresses of listeners, has one. All of it is set before the first thread, without an exec.

--- a/src/geraniumbend/run.py
+++ b/src/geraniumbend/run.py
@@ -11,6 +11,7 @@
 from geraniumbend import timers  # noqa: F401  (records the start time)
 from geraniumbend.exits import report_end
 from geraniumbend.logs import close_logs
+from geraniumbend.memory import limit_address_space
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -52,6 +53,7 @@
     # shutdown, and SIGHUP is ignored because the settings have not been read yet.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(0))
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    limit_address_space()
     # Collections take a fifth of the time that the imports need, and find nothing.
     gc.disable()
     from geraniumbend.cli import processes
