Run all blocking work of a control host in one bounded pool

Each of them could be the one that no longer starts. A hanging disk also kept a process from ending: the interpreter waits for the threads of an executor.

Cause: no owner of threads in the process.

Change: adapters.disk.WorkerPool, at most eight daemon threads, with a queue for each file or log. Queues keep their order, and a task that hangs holds up only its own queue. The threads start together at the first task, so that none has to be started when a disk is slow. A thread that cannot be started leaves its work to the others (event 130); without any thread the task fails with EAGAIN, an OSError like any other refused disk operation, and is not run later.

--- a/src/geraniumbend/adapters/_local_disk.py
+++ b/src/geraniumbend/adapters/_local_disk.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
+import errno
 import os
-from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, TypeVar
 
+from geraniumbend.adapters._worker_pool import WorkerPool
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -15,17 +17,25 @@
 
 
 class LocalDisk:
-    """Operations on local files, run in one worker thread.
+    """Operations on local files, run one task at a time off the event loop.
 
     Implements `replication.Disk`.
+
+    Parameters
+    ----------
+    pool : WorkerPool or None, default=None
+        Threads that run the tasks; a thread of its own if None.
     """
 
-    def __init__(self) -> None:
-        # A single thread keeps the order of tasks, so a sync covers all earlier writes.
-        self._executor = ThreadPoolExecutor(1, thread_name_prefix="disk")
+    def __init__(self, pool: WorkerPool | None = None) -> None:
+        used_pool = WorkerPool(1) if pool is None else pool
+        self._own_pool = used_pool if pool is None else None
+        # A queue of width 1 keeps the order of tasks, so that a sync covers all earlier
+        # writes.
+        self._queue = used_pool.create_queue()
 
     async def run(self, task: Callable[[], T]) -> T:
-        """Run blocking operations in the worker thread.
+        """Run blocking operations after those of earlier calls.
 
         Parameters
         ----------
@@ -36,12 +46,18 @@
         -------
         object
             Result of the task.
+
+        Raises
+        ------
+        OSError
+            If an operation fails, or if memory or threads for it are missing.
         """
-        return await asyncio.get_running_loop().run_in_executor(self._executor, task)
+        return await self._queue.run(partial(_convert_memory_errors, task))
 
     def close(self) -> None:
-        """Stop the worker thread after the tasks that are already queued."""
-        self._executor.shutdown(wait=False)
+        """Stop a thread of its own after the tasks that are already queued."""
+        if self._own_pool is not None:
+            self._own_pool.close()
 
     def list_files(self, folder: str) -> list[str]:
         """Return the names of the files in a folder, sorted; empty if absent."""
@@ -108,3 +124,10 @@
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
+
+
+def _convert_memory_errors(task: Callable[[], T]) -> T:
+    try:
+        return task()
+    except MemoryError as error:
+        raise OSError(errno.ENOMEM, os.strerror(errno.ENOMEM)) from error
--- a/src/geraniumbend/adapters/_token_authenticator.py
+++ b/src/geraniumbend/adapters/_token_authenticator.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 import hmac
 import ipaddress
 import os
+from functools import partial
 from typing import TYPE_CHECKING
 
+from geraniumbend.adapters._worker_pool import WorkerPool
 from geraniumbend.errors import AuthenticationError, SettingsError
 from geraniumbend.tokens import verify_token
 
@@ -39,17 +40,27 @@
         Known tokens.
     allow_anonymous : bool
         Whether requests without a token are accepted.
+    pool : WorkerPool or None, default=None
+        Threads that run the checks; threads of its own if None.
     """
 
-    def __init__(self, tokens: list[TokenSettings], allow_anonymous: bool) -> None:
+    def __init__(
+        self,
+        tokens: list[TokenSettings],
+        allow_anonymous: bool,
+        pool: WorkerPool | None = None,
+    ) -> None:
         self._tokens = tokens
         self._allow_anonymous = allow_anonymous
         self._secret = os.urandom(32)
         self._verified: dict[bytes, TokenSettings] = {}
-        self._checks = asyncio.Semaphore(MAX_CONCURRENT_CHECKS)
+        used_pool = WorkerPool() if pool is None else pool
+        self._checks = used_pool.create_queue(MAX_CONCURRENT_CHECKS)
 
     @classmethod
-    def from_config(cls, settings: ControlSettings) -> TokenAuthenticator:
+    def from_config(
+        cls, settings: ControlSettings, pool: WorkerPool | None = None
+    ) -> TokenAuthenticator:
         """Build the authenticator from the settings of a control host.
 
         Raises
@@ -73,7 +84,7 @@
                 "the operators' API listens beyond loopback without any token",
                 "add a [[control.tokens]] table; see geraniumbend token hash",
             )
-        return cls(list(settings.tokens), allow_anonymous)
+        return cls(list(settings.tokens), allow_anonymous, pool)
 
     async def check(self, header: str, role: str) -> str:
         """Authenticate a request and return the name of its token.
@@ -117,12 +128,11 @@
         )
         if digest in self._verified:
             return self._verified[digest]
-        async with self._checks:
-            for token in self._tokens:
-                if await asyncio.to_thread(verify_token, secret, token.hash):
-                    if len(self._verified) < MAX_CACHED_TOKENS:
-                        self._verified[digest] = token
-                    return token
+        for token in self._tokens:
+            if await self._checks.run(partial(verify_token, secret, token.hash)):
+                if len(self._verified) < MAX_CACHED_TOKENS:
+                    self._verified[digest] = token
+                return token
         raise AuthenticationError(
             "the bearer token is unknown", "check GERANIUMBEND_TOKEN"
         )
--- a/src/geraniumbend/adapters/disk.py
+++ b/src/geraniumbend/adapters/disk.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from geraniumbend.adapters._local_disk import LocalDisk
+from geraniumbend.adapters._worker_pool import WorkerPool
 
-__all__ = ["LocalDisk"]
+__all__ = ["LocalDisk", "WorkerPool"]
--- a/src/geraniumbend/adapters/operators_api.py
+++ b/src/geraniumbend/adapters/operators_api.py
@@ -42,6 +42,7 @@
 
     from sanic import Request
 
+    from geraniumbend.adapters.disk import WorkerPool
     from geraniumbend.settings import ControlSettings
     from geraniumbend.timers import Subscription, TimerService
 
@@ -98,6 +99,8 @@
         The control host itself.
     timers : TimerService
         Timers of the periodic check for changed certificate files.
+    pool : WorkerPool or None, default=None
+        Threads that check tokens; threads of its own if None.
     """
 
     def __init__(
@@ -106,11 +109,12 @@
         service: ConfigurationService,
         control: ControlPort,
         timers: TimerService,
+        pool: WorkerPool | None = None,
     ) -> None:
         self._listen = settings.operators
         self._timers = timers
         self._watching: Subscription | None = None
-        self._authenticator = TokenAuthenticator.from_config(settings)
+        self._authenticator = TokenAuthenticator.from_config(settings, pool)
         self._service = service
         self._control = control
         self._server: Any = None
--- a/src/geraniumbend/membership/_server_records_file.py
+++ b/src/geraniumbend/membership/_server_records_file.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from geraniumbend.replication import Disk
     from geraniumbend.timers import Subscription, TimerService
 
 FILE_NAME = "backend-servers"
@@ -53,6 +55,8 @@
 
     Parameters
     ----------
+    disk : Disk
+        Runs the writes off the event loop.
     folder : str
         Data folder of the process.
     list_records : callable
@@ -63,10 +67,12 @@
 
     def __init__(
         self,
+        disk: Disk,
         folder: str,
         list_records: Callable[[], list[Record]],
         timers: TimerService,
     ) -> None:
+        self._disk = disk
         self._path = Path(folder) / FILE_NAME
         self._list_records = list_records
         self._timers = timers
@@ -114,9 +120,10 @@
 
     async def _write(self, records: list[Record]) -> None:
         try:
+            body = msgspec.msgpack.encode(records)
             # A slow or hanging disk must not block the event loop.
-            await asyncio.to_thread(self._replace_file, msgspec.msgpack.encode(records))
-        except OSError as error:
+            await self._disk.run(partial(self._replace_file, body))
+        except (OSError, MemoryError) as error:
             self._stored = []
             self._failed_writes += 1
             if self._failed_writes == 1:
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from geraniumbend.adapters.disk import LocalDisk
+from geraniumbend.adapters.disk import LocalDisk, WorkerPool
 from geraniumbend.adapters.metrics_listener import MetricsListener
 from geraniumbend.adapters.rpc import RpcClients, RpcServer
 from geraniumbend.configuration import ConfigurationService, ConfigurationStore
@@ -79,6 +79,7 @@
             count_bytes=self._traffic.count,
         )
         self._clients.set_locality(self._membership.is_local_address)
+        self._pool = WorkerPool()
         self._store = ConfigurationStore()
         self._configuration_log = self._create_replica("config", self._store)
         shards = []
@@ -103,11 +104,13 @@
         self._log_members = LogMembers(self._replicas, self._clients)
         self._quarantine = Quarantine.from_config(settings, self._membership, timers)
         self._directory = ServerRecordsFile(
-            settings.control.data_folder, self._membership.server_records, timers
+            LocalDisk(self._pool),
+            settings.control.data_folder,
+            self._membership.server_records,
+            timers,
         )
-        self._disk = LocalDisk()
         self._departure_log = DepartureLog(
-            self._disk,
+            LocalDisk(self._pool),
             settings.control.data_folder,
             self._membership.list_departures,
         )
@@ -195,7 +198,7 @@
         await self._membership.stop()
         await self._clients.close()
         await self._rpc.stop()
-        self._disk.close()
+        self._pool.close()
 
     def update_settings(self, settings: Settings) -> None:
         """Apply the settings that may change at run time: the seed peers."""
@@ -304,7 +307,9 @@
             # Imported only where it is used, since it adds 10 MB to the process.
             from geraniumbend.adapters.operators_api import OperatorsApi
 
-            return OperatorsApi(settings.control, self._service, self, self._timers)
+            return OperatorsApi(
+                settings.control, self._service, self, self._timers, self._pool
+            )
         announcements = AnnouncementService(
             self._membership, self._departures, self._service.has_majority_contact
         )
@@ -339,6 +344,7 @@
             self._clients,
             self._timers,
             control,
+            LocalDisk(self._pool),
             process_started_at=PROCESS_START_S,
         )
 
--- a/tests/membership/test_server_records_file.py
+++ b/tests/membership/test_server_records_file.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from geraniumbend.adapters.disk import LocalDisk
 from geraniumbend.membership import ServerRecordsFile
 from geraniumbend.membership._server_records_file import FILE_NAME
 from geraniumbend.timers import LoopTimers
@@ -20,13 +21,18 @@
         self.addCleanup(folder.cleanup)
         self.folder = folder.name
 
+    def build(self, list_records):
+        disk = LocalDisk()
+        self.addCleanup(disk.close)
+        return ServerRecordsFile(disk, self.folder, list_records, LoopTimers())
+
     async def store(self, records):
-        file = ServerRecordsFile(self.folder, lambda: records, LoopTimers())
+        file = self.build(lambda: records)
         file._store_changes()
         await file._write_task
 
     def load(self):
-        return ServerRecordsFile(self.folder, list, LoopTimers()).load()
+        return self.build(list).load()
 
     def test_file_of_another_release_is_ignored(self):
         """Guards against a host that cannot start after a return to an old release."""
