Let a majority settle a member list, however many copies a command needs

Callers saw a leader and no acknowledged change, for good, after a first start in which one of three founders formed its log late, with two tolerated losses; gateways did not become ready.

Cause: with three voters and two tolerated losses each entry needs three copies. A founder that forms late, or whose disk was emptied, has another incarnation, so its copies do not count. The leader may demote it only once an entry of its term and the newest list are committed, which needs the missing copy. A silent founder kept hosts from joining in the same way, although a new voter is what makes the third copy possible.

Change: the leader keeps two indexes. Member lists, and the first entry of a term as far as lists are concerned, take effect once a majority of the voters holds them (Raft). Commands and reads wait for the commit index, which asks for as many copies as before. No copy is counted twice, and the copies of an emptied disk still do not count. Between replicas nothing changes.

Evidence: test_founder_that_forms_late_does_not_block_the_log (tolerated losses 2), test_late_founder_receives_what_was_acknowledged_without_it, test_host_joins_while_too_few_voters_are_up_for_a_command and test_change_of_members_does_not_commit_the_commands_before_it end with UnavailableError on and pass now; the others of tests.replication pass unchanged.

--- a/src/geraniumbend/replication/_leader.py
+++ b/src/geraniumbend/replication/_leader.py
@@ -16,6 +16,7 @@
 from geraniumbend.replication._members import MemberSet, encode_members
 from geraniumbend.replication._messages import build_request, call_peer
 from geraniumbend.replication._peers import NEVER, Peer
+from geraniumbend.replication._quorum_index import QuorumIndex
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,6 +46,7 @@
         self._core = core
         self.peers: dict[str, Peer] = {}
         self.is_transferring = False
+        self._quorum = QuorumIndex(core.timers)
         # First entry that this leader appended in its term.
         self._term_start_index = 0
         self._started_at = NEVER
@@ -64,6 +66,7 @@
         core.leader_address = next(own.address for own in known if own is not None)
         self.is_transferring = False
         self._started_at = core.timers.now()
+        self._quorum.reset()
         log_event(500, shard=core.shard, term=core.term)
         if core.members.cluster_id:
             self._term_start_index = self._append(NO_OP, b"")
@@ -103,15 +106,34 @@
         await self._require_lease()
         return index
 
+    async def confirm_leadership(self) -> None:
+        """Wait until a majority holds the first entry of this leader.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica does not hold the leader lease.
+        UnavailableError
+            If no majority has it in time.
+        """
+        await self._require_lease()
+        await self._wait_for_quorum(self._term_start_index)
+        await self._require_lease()
+
     async def change_members(self, old: MemberSet, new: MemberSet) -> None:
-        """Replace the member list and wait for the commit.
+        """Replace the member list and wait until a majority of the new one holds it.
+
+        A majority is enough for a list, however many copies a command needs: a change
+        of the list may be what makes that number of copies possible.
 
         Raises
         ------
         NotLeaderError
             If this replica no longer leads.
         ConflictError
-            If `old` is not the newest list or is not committed yet.
+            If `old` is not the newest list or no majority holds it yet.
+        UnavailableError
+            If the outcome is unknown.
         """
         core = self._core
         if not core.is_leader:
@@ -122,12 +144,12 @@
             )
         index = self._append(MEMBERS, encode_members(new))
         self.update_peers()
-        await self._wait_for_result(index)
+        await self._wait_for_quorum(index)
 
     def is_settled(self) -> bool:
-        """Return whether an entry of this term and the newest list are committed."""
-        core = self._core
-        return core.commit_index >= max(self._term_start_index, core.members_index)
+        """Return whether a majority holds an entry of this term and the newest list."""
+        newest = max(self._term_start_index, self._core.members_index)
+        return self._quorum.value >= newest
 
     def update_peers(self) -> None:
         """Replicate to exactly the other members of the newest list."""
@@ -167,14 +189,19 @@
             (self._match_index_of(member) for member in core.members.voters()),
             reverse=True,
         )
-        required_copies = max(
-            core.members.majority(), min(core.min_durable_copies, len(match_indexes))
-        )
-        index = match_indexes[required_copies - 1]
-        # Entries of earlier terms commit only together with one of this term (Raft,
+        majority = core.members.majority()
+        copies = max(majority, min(core.min_durable_copies, len(match_indexes)))
+        held_by_majority = match_indexes[majority - 1]
+        held_by_enough = match_indexes[copies - 1]
+        # Entries of earlier terms count only together with one of this term (Raft,
         # section 5.4.2).
-        if index > core.commit_index and core.log.term_at(index) == core.term:
-            core.commit(index)
+        if core.log.term_at(held_by_majority) == core.term:
+            self._quorum.advance(held_by_majority)
+        if (
+            held_by_enough > core.commit_index
+            and core.log.term_at(held_by_enough) == core.term
+        ):
+            core.commit(held_by_enough)
 
     def lease_until(self) -> float:
         """Return the end of the leader lease, in seconds of the local clock.
@@ -276,6 +303,10 @@
         finally:
             timer.cancel()
 
+    async def _wait_for_quorum(self, index: int) -> None:
+        limit_s = MAX_WAIT_TIMEOUTS * self._core.election_timeout_s
+        await self._quorum.wait(index, limit_s)
+
     async def _require_lease(self) -> None:
         core = self._core
         if core.failure is not None:
@@ -338,6 +369,7 @@
         for peer in self.peers.values():
             self._close_peer(peer)
         self.peers.clear()
+        self._quorum.release()
         self._wake_lease_waiters()
 
     def _wake_lease_waiters(self) -> None:
--- a/src/geraniumbend/replication/_membership_changes.py
+++ b/src/geraniumbend/replication/_membership_changes.py
@@ -44,7 +44,7 @@
         ConflictError
             If the name is taken or another learner is still to become a voter.
         """
-        await self._confirm_leadership()
+        await self._leading.confirm_leadership()
         members = self._core.members
         known = members.get(name)
         if known is not None:
@@ -70,7 +70,7 @@
         ConflictError
             If another learner is still to become a voter.
         """
-        await self._confirm_leadership()
+        await self._leading.confirm_leadership()
         members = self._core.members
         known = members.get(name)
         if known is None:
@@ -91,7 +91,7 @@
         ConflictError
             If the live voters that remain would not be a majority.
         """
-        await self._confirm_leadership()
+        await self._leading.confirm_leadership()
         members = self._core.members
         known = members.get(name)
         if known is None:
@@ -117,11 +117,6 @@
             "list the members and check the name",
         )
 
-    async def _confirm_leadership(self) -> None:
-        # The barrier waits for the commit of an entry of this term. Before it, an
-        # uncommitted change of an earlier term could be lost to this one.
-        await self._leading.read_barrier()
-
     async def _require_live_majority(self, remaining: MemberSet, name: str) -> None:
         # Only acknowledgements sent after the request count: older ones would include
         # a voter that has just died.
--- a/tests/replication/test_founding.py
+++ b/tests/replication/test_founding.py
@@ -1,12 +1,15 @@
 from __future__ import annotations
 
+import asyncio
 import unittest
 
-from geraniumbend.errors import ProtocolError
+from geraniumbend.errors import ProtocolError, UnavailableError
 from geraniumbend.replication._files import VoteState, unpack_vote_state
 from geraniumbend.replication._records import VOTE_MAGIC, pack_file
+from geraniumbend.settings import ControlSettings
 from geraniumbend.wire import encode, load_structs
 from tests.replication.cluster import Cluster, ReplicationTestCase
+from tests.replication.fakes import MemoryDisk
 
 # Longer than the time in which the first entry of a leader arrives.
 LATENCY_S = 0.1
@@ -60,6 +63,87 @@
             core.check_request(request)
 
 
+class DeafClients:
+    """RpcCaller of a host that hears no answer."""
+
+    async def call(self, address, method, body, timeout_s):
+        raise UnavailableError(f"{method} timed out")
+
+
+class LateFounderTest(ReplicationTestCase):
+    """Founders that ask each other for their logs; the settings tolerate losses."""
+
+    async def found_with_late_founder(self, tolerated):
+        """Return a cluster whose third founder hears the others after they began."""
+        asyncio.get_running_loop().set_debug(False)
+        settings = ControlSettings(tolerated_losses=tolerated)
+        cluster = Cluster(3, settings=settings, latency_s=0.005)
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start("n3")
+        core = cluster.replicas["n3"]._core
+        clients = core.clients
+        core.clients = DeafClients()
+        await cluster.start("n1", "n2")
+        await cluster.run(3.0)
+        core.clients = clients
+        return cluster
+
+    # No change was ever committed: each needed a copy of the founder that formed late,
+    # whose copies did not count until a change of members was committed.
+    async def test_founder_that_forms_late_does_not_block_the_log(self):
+        for tolerated in (0, 1, 2):
+            with self.subTest(tolerated=tolerated):
+                cluster = await self.found_with_late_founder(tolerated)
+                await cluster.propose("one")
+                self.assertEqual(await cluster.converge(), ["one"])
+                leader = await cluster.leader()
+                await cluster.until(
+                    lambda leader=leader: all(
+                        member.role == "voter" for member in leader.members()
+                    )
+                )
+
+    # What was acknowledged while the late founder was a learner stayed on two disks.
+    async def test_late_founder_receives_what_was_acknowledged_without_it(self):
+        cluster = await self.found_with_late_founder(2)
+        commands = [str(number) for number in range(20)]
+        await cluster.propose(*commands)
+        await cluster.converge()
+        await cluster.run(1.0)
+        for name in cluster.nodes:
+            await cluster.kill(name)
+        cluster.disks["n1"] = MemoryDisk()
+        await cluster.start()
+        self.assertEqual(await cluster.converge(), commands)
+
+    # Hosts could not join three voters of which one was gone, so that the log had too
+    # few disks for ever.
+    async def test_host_joins_while_too_few_voters_are_up_for_a_command(self):
+        asyncio.get_running_loop().set_debug(False)
+        settings = ControlSettings(tolerated_losses=2)
+        cluster = await self.open(3, settings=settings)
+        await cluster.kill("n3")
+        await cluster.start("n4")
+        leader = await cluster.leader()
+        await cluster.finish(leader.add_member("n4", "n4"))
+        await cluster.propose("one")
+        self.assertEqual(await cluster.converge(), ["one"])
+
+    # A list that two of three voters hold takes effect; a command must still wait.
+    async def test_change_of_members_does_not_commit_the_commands_before_it(self):
+        settings = ControlSettings(tolerated_losses=2)
+        cluster = await self.open(3, settings=settings)
+        await cluster.kill("n3")
+        leader = await cluster.leader()
+        proposing = asyncio.ensure_future(leader.propose(b"one"))
+        await cluster.finish(leader.add_member("n9", "n9", voting=False))
+        await cluster.run(1.0)
+        self.assertFalse(proposing.done())
+        self.assertEqual(cluster.machines[leader.node].commands, [])
+        await cluster.start("n3")
+        await cluster.finish(proposing)
+
+
 class VoteFileTest(unittest.TestCase):
     def test_file_of_a_release_without_the_cluster_id_is_read(self):
         structs = load_structs("replication")
