Wait for ports that are taken instead of ending or never being ready

A port that a listener or the local end of a connection holds for 3 s ended a process at once, at each restart again, mostly with a traceback. A gateway whose port for callers or for forwarding was taken at the moment at which its configuration came did not even end: the exception went to event 100 `timer_callback_failed`, and the gateway was never ready although the port was free later.

Cause: each listener bound its port by itself, once, and took any error for final; the gateway opened its last two listeners in a timer callback, which nobody tries again.

Fix: `adapters/_ports.py` opens every listener and the datagram socket. A port that is taken, or an address that the host lacks, is tried again every 0.1 s for up to 75 s, with event 140 at once and at growing intervals, 141 when it is open. Then, and for other errors at once, a typed error ends the process, with exit codes of their own (68, 69, 71, 77). Metrics and forwarding are tried without limit, since the process serves without them. The start goes on where it can: a control host's logs need only the peer port, its cluster id no longer waits for the other ports; a gateway's ports don't wait for each other. A start that fails beside the others ends the process instead of being lost. SIGTERM during a start stops it at once with code 0, and a gateway that never listened does not wait for the balancer before it ends.

--- a/src/geraniumbend/_errors.py
+++ b/src/geraniumbend/_errors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from typing import TYPE_CHECKING, ClassVar, Literal
 
 if TYPE_CHECKING:
@@ -111,6 +112,30 @@
     exit_code = 7
 
 
+class ListenError(GeraniumbendError):
+    """An address cannot be listened on."""
+
+    exit_code = os.EX_OSERR
+
+
+class PortTakenError(ListenError):
+    """Another process or connection uses a port for longer than the wait for it."""
+
+    exit_code = os.EX_UNAVAILABLE
+
+
+class AddressMissingError(ListenError):
+    """The host lacks an address that is to be listened on."""
+
+    exit_code = os.EX_NOHOST
+
+
+class PortDeniedError(ListenError):
+    """The system denies a port to this process."""
+
+    exit_code = os.EX_NOPERM
+
+
 class ProtocolError(GeraniumbendError):
     """A peer sent a frame or message that cannot be accepted."""
 
--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -9,6 +9,7 @@
 from aiohttp.web_server import Server
 
 from geraniumbend.adapters._caller_protocol import CallerProtocol
+from geraniumbend.adapters._ports import PORT_WAIT_S, open_listener
 from geraniumbend.certificates import listener_certificates
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.proxying import StandardDialect
@@ -112,6 +113,8 @@
         Limits against slow or oversized requests.
     dialect : Dialect, default=StandardDialect()
         Form of the header fields of refusals.
+    port_wait_s : float, default=75.0
+        Longest wait for a port that is taken, in seconds.
     """
 
     def __init__(
@@ -120,7 +123,9 @@
         listen: ListenSettings,
         limits: Limits | None = None,
         dialect: Dialect | None = None,
+        port_wait_s: float = PORT_WAIT_S,
     ) -> None:
+        self._port_wait_s = port_wait_s
         self._listen = listen
         self.certificates = listener_certificates(listen.tls)
         self._default_limits = limits or Limits()
@@ -147,11 +152,19 @@
         return sum(protocol.busy for protocol in self._protocols())
 
     async def start(self) -> None:
-        """Start to listen."""
+        """Start to listen.
+
+        Raises
+        ------
+        ListenError
+            If the address cannot be listened on.
+        """
+        listener = await open_listener(
+            self._listen.host, self._listen.port, BACKLOG, self._port_wait_s
+        )
         self._asyncio_server = await asyncio.get_running_loop().create_server(
             self._server,
-            self._listen.host,
-            self._listen.port,
+            sock=listener,
             ssl=self.certificates.context if self.certificates else None,
             backlog=BACKLOG,
         )
--- a/src/geraniumbend/adapters/_rpc_server.py
+++ b/src/geraniumbend/adapters/_rpc_server.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from geraniumbend import errors
+from geraniumbend.adapters._ports import BACKLOG, open_listener
 from geraniumbend.adapters._rpc_frames import (
     MAX_FRAME_BYTES,
     FrameAllowance,
@@ -103,9 +104,16 @@
         return register
 
     async def start(self) -> None:
-        """Start to listen."""
+        """Start to listen.
+
+        Raises
+        ------
+        ListenError
+            If the address cannot be listened on.
+        """
+        listener = await open_listener(self.host, self.port)
         self._server = await asyncio.start_server(
-            self._accept, self.host, self.port, limit=1024 * 1024
+            self._accept, sock=listener, limit=1024 * 1024, backlog=BACKLOG
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
--- a/src/geraniumbend/adapters/datagram.py
+++ b/src/geraniumbend/adapters/datagram.py
@@ -16,6 +16,7 @@
     DatagramFrames,
     Frame,
 )
+from geraniumbend.adapters._ports import open_datagram_socket
 from geraniumbend.errors import GeraniumbendError, ProtocolError
 from geraniumbend.logs import declare_event, log_event
 
@@ -117,10 +118,17 @@
         self._callback = callback
 
     async def start(self) -> None:
-        """Open the socket."""
+        """Open the socket.
+
+        Raises
+        ------
+        ListenError
+            If the address cannot be bound.
+        """
+        bound = await open_datagram_socket(self.host, self.port)
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(self.host, self.port)
+            lambda: self, sock=bound
         )
         self.port = self._transport.get_extra_info("sockname")[1]
 
--- a/src/geraniumbend/adapters/management_server.py
+++ b/src/geraniumbend/adapters/management_server.py
@@ -9,6 +9,7 @@
 # process 18 ms at its start.
 from aiohttp.web_server import Server
 
+from geraniumbend.adapters._ports import BACKLOG, PORT_WAIT_S, open_listener
 from geraniumbend.certificates import listener_certificates
 from geraniumbend.errors import RefusedError
 
@@ -38,13 +39,17 @@
         Address and TLS.
     handler : callable
         Coroutine function that returns the response to a request.
+    port_wait_s : float, default=75.0
+        Longest wait for a port that is taken, in seconds.
     """
 
     def __init__(
         self,
         listen: ListenSettings,
         handler: Callable[[BaseRequest], Awaitable[Response]],
+        port_wait_s: float = PORT_WAIT_S,
     ) -> None:
+        self._port_wait_s = port_wait_s
         self.port = listen.port
         self.certificates = listener_certificates(listen.tls)
         self._listen = listen
@@ -53,16 +58,24 @@
         self._listener: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Start to listen."""
+        """Start to listen.
+
+        Raises
+        ------
+        ListenError
+            If the address cannot be listened on.
+        """
         self._server = Server(
             self._handler, access_log=None, keepalive_timeout=IDLE_TIMEOUT_S
         )
+        listener = await open_listener(
+            self._listen.host, self._listen.port, limit_s=self._port_wait_s
+        )
         self._listener = await asyncio.get_running_loop().create_server(
             self._server,
-            self._listen.host,
-            self._listen.port,
+            sock=listener,
             ssl=self.certificates.context if self.certificates else None,
-            reuse_address=True,
+            backlog=BACKLOG,
         )
         self.port = self._listener.sockets[0].getsockname()[1]
 
--- a/src/geraniumbend/adapters/metrics_listener.py
+++ b/src/geraniumbend/adapters/metrics_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING, Any, Protocol
 
 from aiohttp.web_response import Response
@@ -44,7 +45,8 @@
 
     def __init__(self, listen: ListenSettings, source: MetricsSource) -> None:
         self._source = source
-        self._server = ManagementServer(listen, self._handle)
+        # The process serves without this listener, so no wait for its port ends it.
+        self._server = ManagementServer(listen, self._handle, math.inf)
 
     @property
     def port(self) -> int:
--- a/src/geraniumbend/adapters/operators_api.py
+++ b/src/geraniumbend/adapters/operators_api.py
@@ -4,7 +4,6 @@
 
 import itertools
 import logging
-import socket
 import uuid
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -13,6 +12,7 @@
 from sanic.exceptions import SanicException
 from sanic.response import HTTPResponse
 
+from geraniumbend.adapters._ports import open_listener
 from geraniumbend.adapters._token_authenticator import TokenAuthenticator
 from geraniumbend.certificates import listener_certificates
 from geraniumbend.configuration import (
@@ -137,7 +137,7 @@
         if certificates is not None:
             self._watching = certificates.watch(self._timers)
         # Sanic would replace port 0 by its default port 8000.
-        listener = socket.create_server((self._listen.host, self._listen.port))
+        listener = await open_listener(self._listen.host, self._listen.port)
         self._server = await self._application.create_server(
             sock=listener,
             ssl=None if certificates is None else certificates.context,
--- a/src/geraniumbend/cli/_processes.py
+++ b/src/geraniumbend/cli/_processes.py
@@ -6,7 +6,7 @@
 import gc
 import os
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -186,16 +186,42 @@
         watcher = SettingsWatcher(path, settings, process.update_settings)
         loop.add_signal_handler(signal.SIGHUP, watcher.reload)
         watcher.start(process.timers)
-        await process.start()
-        # Without a collection before it, which would delay the first responses.
-        gc.freeze()
-        gc.set_threshold(COLLECTION_THRESHOLD, 20, 100)
-        gc.enable()
-        log_event(900, role=role)
-        await stopping.wait()
+        if await _start_unless_stopped(process, stopping):
+            _freeze_objects()
+            log_event(900, role=role)
+            await _wait_for_first(stopping.wait(), process.wait_failed())
         log_event(901, role=role, signal=received[0])
         await process.stop()
         log_event(902, role=role, exit_code=0)
 
     uvloop.run(serve())
     return 0
+
+
+def _freeze_objects() -> None:
+    # Without a collection before it, which would delay the first responses.
+    gc.freeze()
+    gc.set_threshold(COLLECTION_THRESHOLD, 20, 100)
+    gc.enable()
+
+
+async def _start_unless_stopped(process: Any, stopping: asyncio.Event) -> bool:
+    """Start a process; return False if a signal asks to stop before it has started."""
+    await _wait_for_first(process.start(), stopping.wait(), process.wait_failed())
+    return not stopping.is_set()
+
+
+async def _wait_for_first(*awaitables: Coroutine[Any, Any, Any]) -> None:
+    """Wait until one of several coroutines ends, and cancel the others.
+
+    The exception of one that failed is raised.
+    """
+    tasks = [asyncio.ensure_future(awaitable) for awaitable in awaitables]
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    for task in done:
+        task.result()
--- a/src/geraniumbend/errors.py
+++ b/src/geraniumbend/errors.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from geraniumbend._errors import (
+    AddressMissingError,
     AuthenticationError,
     ConfigurationError,
     ConflictError,
     GeraniumbendError,
+    ListenError,
     NotLeaderError,
+    PortDeniedError,
+    PortTakenError,
     ProtocolError,
     RefusedError,
     SettingsError,
@@ -16,11 +20,15 @@
 )
 
 __all__ = [
+    "AddressMissingError",
     "AuthenticationError",
     "ConfigurationError",
     "ConflictError",
     "GeraniumbendError",
+    "ListenError",
     "NotLeaderError",
+    "PortDeniedError",
+    "PortTakenError",
     "ProtocolError",
     "RefusedError",
     "SettingsError",
--- a/src/geraniumbend/exits.py
+++ b/src/geraniumbend/exits.py
@@ -2,6 +2,16 @@
 
 from __future__ import annotations
 
-from geraniumbend._exits import describe_end, report_end, report_unhandled
+from geraniumbend._exits import (
+    EXHAUSTED_ERRORS,
+    describe_end,
+    report_end,
+    report_unhandled,
+)
 
-__all__ = ["describe_end", "report_end", "report_unhandled"]
+__all__ = [
+    "EXHAUSTED_ERRORS",
+    "describe_end",
+    "report_end",
+    "report_unhandled",
+]
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -26,6 +26,7 @@
 from geraniumbend.orders import OrderJournal, OrderService, OrderShard
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.replication import Replica
+from geraniumbend.roles._background_starts import BackgroundStarts
 from geraniumbend.roles._control_stages import create_control_stages
 from geraniumbend.roles._log_members import LogMembers
 from geraniumbend.roles._member_reconciler import MemberReconciler
@@ -137,6 +138,7 @@
             None if listen_metrics is None else MetricsListener(listen_metrics, self)
         )
         self._bootstrap_timer: Subscription | None = None
+        self._background = BackgroundStarts()
         self._stages = create_control_stages(
             settings, self._replicas, self._store, timers
         )
@@ -161,29 +163,35 @@
         """Load the logs, join the cluster and listen for peers and operators."""
         self._stages.start()
         self._stages.reach("settings_read")
+        if self._metrics_listener is not None:
+            self._background.spawn(self._metrics_listener.start())
+        # A replica that leads or founds a log must be reachable by its peers.
         await self._rpc.start()
         self._stages.reach("peer_port_open", port=self._rpc.port)
         for replica in self._replicas:
             await replica.start()
         self._stages.reach("logs_loaded", logs=len(self._replicas))
+        self._service.start()
+        self._orders.start()
+        self._bootstrap_timer = self._timers.after(0.0, self._bootstrap)
         await self._membership.start()
         departures = await self._departure_log.load()
         self._membership.restore_servers([*self._directory.load(), *departures])
         self._directory.start()
         self._departures.start()
-        self._service.start()
-        self._orders.start()
         if self._settings.control.founders:
             self._member_reconciler.start()
         await self._api.start()
-        if self._metrics_listener is not None:
-            await self._metrics_listener.start()
         self._stages.reach("operators_listening")
-        await self._bootstrap()
+
+    async def wait_failed(self) -> None:
+        """Wait until a part of the start that runs beside it fails; raise its error."""
+        await self._background.wait_failed()
 
     async def stop(self) -> None:
-        """Hand over leadership and close all listeners."""
+        """Hand over leadership and close all listeners, also during a start."""
         self._stages.stop()
+        await self._background.stop()
         if self._bootstrap_timer is not None:
             self._bootstrap_timer.cancel()
         await self._api.stop()
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Any
 
 from geraniumbend.adapters.announce_listener import AnnounceListener
@@ -29,6 +30,7 @@
 from geraniumbend.quarantine import Quarantine
 from geraniumbend.reachability import SILENCE_S
 from geraniumbend.retries import RetryBudget
+from geraniumbend.roles._background_starts import BackgroundStarts
 from geraniumbend.roles._gateway_links import GatewayLinks
 from geraniumbend.roles._gateway_stages import create_gateway_stages
 from geraniumbend.roles._peer_sessions import PeerSessions
@@ -191,6 +193,8 @@
             ListenSettings(listen.host, gateway.forward_port),
             ForwardLimits(2 * gateway.header_limit_bytes),
             dialect,
+            # Callers are served without this port, so no wait for it ends the process.
+            math.inf,
         )
         self._announce_listener = AnnounceListener(
             gateway.announce,
@@ -209,7 +213,8 @@
         self._draining = False
         self._loads_timer = Subscription()
         self._listening = False
-        self._start_timer: Subscription | None = None
+        self._forwarding = False
+        self._background = BackgroundStarts()
         self._stages = create_gateway_stages(
             settings, self._membership, self._follower, timers
         )
@@ -236,11 +241,10 @@
         """Join the cluster, follow the configuration and listen for callers."""
         self._stages.start()
         self._stages.reach("settings_read")
+        announcing = self._background.spawn(self._start_announcing())
+        self._follower.start()
         await self._rpc.start()
         self._stages.reach("peer_port_open", port=self._rpc.port)
-        await self._announce_listener.start()
-        self._stages.reach("ready_port_open", port=self._announce_listener.port)
-        self._follower.start()
         await self._membership.start()
         self._rate_totals.start()
         self._limits.start()
@@ -256,7 +260,12 @@
             )
         else:
             self._probes.start(self._probe)
-        await self._start_listening()
+        self._background.spawn(self._start_listening())
+        await announcing
+
+    async def wait_failed(self) -> None:
+        """Wait until a part of the start that runs beside it fails; raise its error."""
+        await self._background.wait_failed()
 
     async def stop(self) -> None:
         """Shut down gracefully: requests in flight get `drain_limit_s` to complete.
@@ -266,11 +275,12 @@
         """
         self._draining = True
         self._stages.stop()
-        if self._start_timer is not None:
-            self._start_timer.cancel()
+        await self._background.stop()
         self._caller_listener.begin_drain()
         self._forward_listener.begin_drain()
-        delay_s, limit_s = self._settings.drain_delay_s, self._settings.drain_limit_s
+        # No caller can have selected a gateway that has not listened yet.
+        delay_s = self._settings.drain_delay_s if self._listening else 0.0
+        limit_s = self._settings.drain_limit_s
         begin_s = self._timers.now()
         end_s = begin_s + delay_s + limit_s
         self._planned_stop.begin(begin_s, delay_s, delay_s + limit_s)
@@ -335,18 +345,28 @@
 
         A gateway that listens earlier responds 404 because it has no routing rules yet.
         """
-        waited_s = self._timers.now() - self._started_at
-        servers_known = self._membership.joined or waited_s > SERVERS_MAX_WAIT_S
-        if not (self._follower.confirmed and servers_known):
-            self._start_timer = self._timers.after(START_POLL_S, self._start_listening)
-            return
+        while not (self._follower.confirmed and self._are_servers_known()):
+            await self._timers.sleep(START_POLL_S)
         self._stages.check()
         self._stages.reach("servers_known", servers=len(self._membership.servers()))
-        await self._forward_listener.start()
+        self._background.spawn(self._start_forwarding())
         await self._caller_listener.start()
         self._listening = True
         self._stages.reach("ready", port=self._caller_listener.port)
 
+    def _are_servers_known(self) -> bool:
+        """Return whether backend servers are known, or the wait for them has ended."""
+        waited_s = self._timers.now() - self._started_at
+        return self._membership.joined or waited_s > SERVERS_MAX_WAIT_S
+
+    async def _start_forwarding(self) -> None:
+        await self._forward_listener.start()
+        self._forwarding = True
+
+    async def _start_announcing(self) -> None:
+        await self._announce_listener.start()
+        self._stages.reach("ready_port_open", port=self._announce_listener.port)
+
     def _list_control_hosts(self) -> list[str]:
         """Return the peer addresses of the live control hosts, else of all known ones.
 
@@ -386,7 +406,7 @@
         await self._proxy.handle_forwarded(request, self._peer_sessions.token)
 
     def _read_forward_port(self) -> int:
-        listens = self._listening and not self._draining
+        listens = self._listening and self._forwarding and not self._draining
         return self._forward_listener.port if listens else 0
 
     def _create_observer(self) -> Any:
