--- a/src/geraniumbend/_registries.py
+++ b/src/geraniumbend/_registries.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from difflib import get_close_matches
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from geraniumbend.errors import SettingsError
@@ -73,6 +72,8 @@
         """
         if name in self._entries:
             return self._entries[name]
+        from difflib import get_close_matches
+
         matches = get_close_matches(name, self._entries, n=1)
         remedy = (
             f"did you mean {matches[0]!r}" if matches else f"use one of {self.names()}"
--- a/src/geraniumbend/_settings.py
+++ b/src/geraniumbend/_settings.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import re
-import tomllib
-from difflib import get_close_matches
 from importlib import import_module
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
@@ -301,6 +299,8 @@
     SettingsError
         If the document is invalid.
     """
+    import tomllib
+
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
@@ -323,6 +323,8 @@
     full_key = ".".join(part for part in (path, key if unknown else "") if part)
     remedy = "correct the value; geraniumbend config reference lists all keys"
     if unknown:
+        from difflib import get_close_matches
+
         matches = get_close_matches(key, _known_keys(Settings), n=1)
         remedy = f"did you mean {matches[0]!r}" if matches else "remove the key"
     return SettingsError(f"{location}: {full_key or 'document'}: {message}", remedy)
--- a/src/geraniumbend/configuration/_documents.py
+++ b/src/geraniumbend/configuration/_documents.py
@@ -4,7 +4,6 @@
 
 import types
 import typing
-from difflib import get_close_matches
 from functools import cache
 from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
 
@@ -150,6 +149,8 @@
     unknown = message.partition("unknown field `")[2].rstrip("`")
     remedy = "correct the value; see the configuration reference for all keys"
     if unknown:
+        from difflib import get_close_matches
+
         matches = get_close_matches(unknown, _known_keys(kind), n=1)
         remedy = f"did you mean {matches[0]!r}" if matches else "remove the key"
     return ConfigurationError(f"{where}: {message}", remedy)
--- a/src/geraniumbend/configuration/_operator_files.py
+++ b/src/geraniumbend/configuration/_operator_files.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import tomllib
 from typing import Any, NamedTuple
 
 from geraniumbend.configuration._documents import describe, parse
@@ -63,6 +62,8 @@
     ConfigurationError
         If the file is not valid TOML, or a table or key is unknown or malformed.
     """
+    import tomllib
+
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
