Keep a log in place that cannot be read at present

A control host whose read of its log failed with EMFILE, ENFILE, ENOMEM, EAGAIN or EACCES moved the intact files to the folder damaged and came back as a learner without a log. If all hosts of a site start under the same limit, every copy of what was acknowledged is set aside at once.

Cause: LogStorage.load turned each OSError into the StorageError that also reports damaged content, and Startup took every such error for damage.

Why the fix works: an error of the system other than EIO says nothing about the content. It becomes ReadError; the start reads again every 0.5 s for 10 s, with event 519 that names the error, and then ends without a change on disk. EIO still counts as damage.

--- a/src/geraniumbend/replication/_events.py
+++ b/src/geraniumbend/replication/_events.py
@@ -53,3 +53,10 @@
 declare_event(
     510, "replica_recovered", "info", "The disk takes writes again after a failed one."
 )
+declare_event(
+    519,
+    "log_not_read",
+    "warning",
+    "The files of a log cannot be read at present and are left as they are; the start "
+    "tries again for 10 s. Check the limits and permissions that the error names.",
+)
--- a/src/geraniumbend/replication/_records.py
+++ b/src/geraniumbend/replication/_records.py
@@ -26,6 +26,10 @@
     """A file was written by a newer release and must not be changed."""
 
 
+class ReadError(StorageError):
+    """Files cannot be read at present, which says nothing about their content."""
+
+
 class SegmentScan(NamedTuple):
     """Records of one segment.
 
--- a/src/geraniumbend/replication/_startup.py
+++ b/src/geraniumbend/replication/_startup.py
@@ -10,13 +10,17 @@
 from geraniumbend.replication._files import StoredState, VoteState
 from geraniumbend.replication._members import initial_members
 from geraniumbend.replication._messages import call_peer
-from geraniumbend.replication._records import VersionError
+from geraniumbend.replication._records import ReadError, VersionError
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from geraniumbend.replication._core import Core
 
+# Time in seconds for which a start tries to read the files, and between two attempts.
+READ_LIMIT_S = 10.0
+READ_RETRY_S = 0.5
+
 
 class Startup:
     """Loads a stored log or bootstraps a new one.
@@ -45,19 +49,20 @@
         """Read the files of the replica and create them in an empty folder.
 
         A damaged log is moved to the folder ``damaged`` if there are peers that it
-        can be fetched from.
+        can be fetched from. Files that cannot be read at present, for lack of memory
+        for example, are left as they are and read again for `READ_LIMIT_S`.
 
         Raises
         ------
         StorageError
-            If files are damaged and there are no peers, or were written by a newer
-            release.
+            If files are damaged and there are no peers, cannot be read at present, or
+            were written by a newer release.
         """
         core = self._core
         has_peers = bool(set(self._voters) - {core.node})
         try:
-            stored = await core.storage.load()
-        except VersionError:
+            stored = await self._read()
+        except (ReadError, VersionError):
             raise
         except StorageError as error:
             if not has_peers:
@@ -80,6 +85,24 @@
             stored = stored._replace(vote_state=vote_state)
         return stored
 
+    async def _read(self) -> StoredState:
+        core = self._core
+        begin_s = core.timers.now()
+        while True:
+            try:
+                return await core.storage.load()
+            except ReadError as error:
+                waited_s = core.timers.now() - begin_s
+                if waited_s >= READ_LIMIT_S:
+                    raise
+                log_event(
+                    519,
+                    shard=core.shard,
+                    error=str(error),
+                    left_s=round(READ_LIMIT_S - waited_s, 1),
+                )
+            await core.timers.sleep(READ_RETRY_S)
+
     async def bootstrap(self) -> None:
         """Bootstrap the log once all first voters report that they are empty."""
         # Voters bootstrap the log only if all are empty at the same time. A voter that
--- a/src/geraniumbend/replication/_storage.py
+++ b/src/geraniumbend/replication/_storage.py
@@ -24,6 +24,7 @@
 from geraniumbend.replication._records import (
     HEADER,
     SEGMENT_MAGIC,
+    ReadError,
     file_header,
     pack_record,
 )
@@ -87,8 +88,11 @@
 
         Raises
         ------
+        ReadError
+            If the system refuses an operation, so that nothing is known of the files.
         StorageError
-            If anything but the tail of the newest segment is damaged.
+            If anything but the tail of the newest segment is damaged, or if sectors
+            are unreadable.
         """
         try:
             stored, self._segments = await self._disk.run(
@@ -96,9 +100,11 @@
             )
             return stored
         except OSError as error:
-            raise StorageError(
+            is_damage = error.errno == errno.EIO
+            raise (StorageError if is_damage else ReadError)(
                 f"{self._folder} cannot be read: {error}",
-                "check the disk and the permissions of the data folder",
+                "check the disk, the permissions of the data folder and the limits on "
+                "memory and descriptors",
             ) from error
 
     async def create(self, vote_state: VoteState) -> None:
