Treat missing memory and threads like a disk that refuses a write

A change waited without an answer; and a change could be acknowledged that was in no file: when a batch of entries could not be encoded for lack of memory, its writer task ended, and the next batch reported both as written. A departure waited until the caller gave up. The file of server records was taken for written: no event, and no second attempt until a record changed.

Cause: LogStorage, DiskRecovery, DepartureLog and ServerRecordsFile handle OSError only; any other exception ended a task that nothing awaits.

Why the fix works: a batch that cannot be written, for whatever lack, fails the log like a full disk does. The replica steps down, its waiters get StorageError, and the recovery writes from memory all entries that no sync has covered.

--- a/src/geraniumbend/membership/_departure_log.py
+++ b/src/geraniumbend/membership/_departure_log.py
@@ -115,6 +115,19 @@
                     waiting.stored.set_exception(error)
 
     async def _write(self, records: list[Record]) -> StorageError | None:
+        try:
+            await self._store(records)
+        except (OSError, MemoryError) as error:
+            self._size = None
+            problem = str(error) or "out of memory"
+            log_event(823, path=self._path, error=problem)
+            return StorageError(
+                f"{self._path} cannot be written: {problem}",
+                "make room on the disk or replace it, or raise the limit on memory",
+            )
+        return None
+
+    async def _store(self, records: list[Record]) -> None:
         data = _pack_records(records)
         is_compaction = self._size is None or self._size + len(data) > max(
             MIN_COMPACT_BYTES, 2 * self._compacted_size
@@ -122,19 +135,10 @@
         if is_compaction:
             data = _pack_records([*self._list_departures(), *records])
         write = self._replace if is_compaction else self._append
-        try:
-            await self._disk.run(lambda: write(data))
-        except OSError as error:
-            self._size = None
-            log_event(823, path=self._path, error=str(error))
-            return StorageError(
-                f"{self._path} cannot be written: {error}",
-                "make room on the disk or replace it",
-            )
+        await self._disk.run(lambda: write(data))
         if is_compaction:
             self._compacted_size = len(data)
         self._size = len(data) + (0 if is_compaction else self._size or 0)
-        return None
 
     def _read(self) -> bytes:
         if FILE_NAME not in self._disk.list_files(self._folder):
--- a/src/geraniumbend/replication/_disk_recovery.py
+++ b/src/geraniumbend/replication/_disk_recovery.py
@@ -52,7 +52,7 @@
         while core.failure is not None:
             await core.timers.sleep(DISK_RETRY_S)
             attempts += 1
-            with suppress(OSError):
+            with suppress(OSError, MemoryError):
                 core.saved_vote_state = await core.storage.recover(
                     lambda: core.log.list_unwritten(core.storage.last_written),
                     lambda: core.vote_state,
--- a/src/geraniumbend/replication/_storage.py
+++ b/src/geraniumbend/replication/_storage.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import os
 from functools import partial
 from itertools import takewhile
 from typing import TYPE_CHECKING, Any
@@ -299,6 +300,9 @@
         except OSError:
             self._is_broken = True
             raise
+        except MemoryError as error:
+            self._is_broken = True
+            raise _memory_error() from error
 
     def _fail(self, error: OSError) -> StorageError:
         # After a failed sync the kernel may have dropped the dirty pages, so a later
@@ -319,11 +323,16 @@
         while self._pending and self._failure is None:
             batch, self._pending = self._pending, []
             number = self._last_queued
+            try:
+                data = b"".join(pack_record(encode_entry(entry)) for entry in batch)
+            except MemoryError:
+                # The batch is in no file, so later ones must not count as written.
+                self._fail(_memory_error())
+                return
             segment = self._segments[-1]
             if segment.size > SEGMENT_BYTES:
                 segment = Segment(segment.number + 1)
                 self._segments.append(segment)
-            data = b"".join(pack_record(encode_entry(entry)) for entry in batch)
             is_new = segment.size == 0
             if is_new:
                 data = file_header(SEGMENT_MAGIC) + data
@@ -372,3 +381,7 @@
             if other.endswith(".snap") and other < name:
                 self._disk.remove(f"{self._folder}/{other}")
         self._disk.sync_folder(self._folder)
+
+
+def _memory_error() -> OSError:
+    return OSError(errno.ENOMEM, os.strerror(errno.ENOMEM))
--- a/tests/membership/test_departures.py
+++ b/tests/membership/test_departures.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from geraniumbend.errors import ProtocolError, StorageError, UnavailableError
 from geraniumbend.membership import (
@@ -10,6 +11,7 @@
     DepartureCopies,
     DepartureLog,
     DepartureSender,
+    _departure_log,
 )
 from geraniumbend.membership._departure_copies import STORE_METHOD
 from geraniumbend.membership._departure_log import MIN_COMPACT_BYTES
@@ -250,6 +252,19 @@
         self.assertLessEqual(size, MIN_COMPACT_BYTES)
         self.assertEqual(await self.load(), {"s0"})
 
+    async def test_departure_is_refused_while_memory_is_missing(self):
+        """Guards against a departure whose caller waits for good."""
+        for target in ((_departure_log, "_pack_records"), (MemoryDisk, "sync")):
+            with (
+                self.subTest(target[1]),
+                mock.patch.object(*target, side_effect=MemoryError),
+                self.assertRaises(StorageError),
+            ):
+                async with asyncio.timeout(5.0):
+                    await self.log.append(self.depart(target[1]))
+        await self.log.append(self.depart("s1"))
+        self.assertIn("s1", await self.load())
+
     async def test_disk_that_was_full_once_keeps_later_departures(self):
         """Guards against records behind a torn one, which no start reads."""
         self.needed = [self.depart("s0")]
--- a/tests/membership/test_server_records_file.py
+++ b/tests/membership/test_server_records_file.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import tempfile
+import threading
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 import xxhash
@@ -79,6 +81,25 @@
         cluster.nodes["g1"].restore_servers(self.load())
         self.assertEqual(sorted(cluster.nodes["g1"].servers()), ["new"])
 
+    async def test_records_are_written_once_threads_can_be_started(self):
+        """Guards against a failed write that is neither logged nor repeated."""
+        cluster = Cluster(1)
+        await cluster.start()
+        self.addAsyncCleanup(cluster.stop)
+        cluster.nodes["g0"].announce(announcement("s1"))
+        file = self.build(cluster.nodes["g0"].server_records)
+        failure = RuntimeError("can't start new thread")
+        with (
+            mock.patch.object(threading.Thread, "start", side_effect=failure),
+            self.assertLogs("geraniumbend", "WARNING") as logs,
+        ):
+            file._store_changes()
+            await file._write_task
+        self.assertEqual([record.event for record in logs.records], [820])
+        file._store_changes()
+        await file._write_task
+        self.assertEqual([record.key for record in self.load()], ["s1"])
+
     async def test_damaged_file_is_ignored(self):
         cluster = Cluster(1)
         await cluster.start()
