--- a/src/geraniumbend/replication/_storage.py
+++ b/src/geraniumbend/replication/_storage.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import os
 from functools import partial
 from itertools import takewhile
 from typing import TYPE_CHECKING, Any
@@ -24,6 +25,7 @@
 from geraniumbend.replication._records import (
     HEADER,
     SEGMENT_MAGIC,
+    ReadError,
     file_header,
     pack_record,
 )
@@ -87,8 +89,11 @@
 
         Raises
         ------
+        ReadError
+            If the system refuses an operation, so that nothing is known of the files.
         StorageError
-            If anything but the tail of the newest segment is damaged.
+            If anything but the tail of the newest segment is damaged, or if sectors
+            are unreadable.
         """
         try:
             stored, self._segments = await self._disk.run(
@@ -96,9 +101,11 @@
             )
             return stored
         except OSError as error:
-            raise StorageError(
+            is_damage = error.errno == errno.EIO
+            raise (StorageError if is_damage else ReadError)(
                 f"{self._folder} cannot be read: {error}",
-                "check the disk and the permissions of the data folder",
+                "check the disk, the permissions of the data folder and the limits on "
+                "memory and descriptors",
             ) from error
 
     async def create(self, vote_state: VoteState) -> None:
@@ -293,6 +300,9 @@
         except OSError:
             self._is_broken = True
             raise
+        except MemoryError as error:
+            self._is_broken = True
+            raise _memory_error() from error
 
     def _fail(self, error: OSError) -> StorageError:
         # After a failed sync the kernel may have dropped the dirty pages, so a later
@@ -313,11 +323,16 @@
         while self._pending and self._failure is None:
             batch, self._pending = self._pending, []
             number = self._last_queued
+            try:
+                data = b"".join(pack_record(encode_entry(entry)) for entry in batch)
+            except MemoryError:
+                # The batch is in no file, so later ones must not count as written.
+                self._fail(_memory_error())
+                return
             segment = self._segments[-1]
             if segment.size > SEGMENT_BYTES:
                 segment = Segment(segment.number + 1)
                 self._segments.append(segment)
-            data = b"".join(pack_record(encode_entry(entry)) for entry in batch)
             is_new = segment.size == 0
             if is_new:
                 data = file_header(SEGMENT_MAGIC) + data
@@ -366,3 +381,7 @@
             if other.endswith(".snap") and other < name:
                 self._disk.remove(f"{self._folder}/{other}")
         self._disk.sync_folder(self._folder)
+
+
+def _memory_error() -> OSError:
+    return OSError(errno.ENOMEM, os.strerror(errno.ENOMEM))
