Let one campaign succeed while its votes are written

Cause: a vote is a write of two syncs, first at the candidate, then at the voter. Election timeouts are 0.5 to 1 s, so others started campaigns in the meantime, won the pre-vote from the same voters and raised the term. A campaign waited for as long as the candidate's own last write suggested, which is nothing after a restart, or on a fast disk among slow ones.

The fix: a voter that writes a vote, and for as long again afterwards, denies pre-votes of other candidates and starts no campaign; votes are requested while the candidate writes its own, which counts only once durable; answers to vote requests tell how long the voter's writes take, and a campaign waits accordingly; it ends when a majority has become impossible. A candidate that ends before its own write may ask for the same term again with a shorter log, so a voter compares the logs at each request. The voter's part has moved to _voter.py; two tests that reach into private parts follow the move.

Wire format: two optional fields in VoteResponse, save_ms and rechecks_log. A voter of an earlier release is asked after the candidate's own write.

--- a/src/geraniumbend/replication/_elections.py
+++ b/src/geraniumbend/replication/_elections.py
@@ -8,20 +8,15 @@
 from geraniumbend.errors import GeraniumbendError
 from geraniumbend.logs import log_event
 from geraniumbend.replication._messages import build_request, call_peer, cancel_tasks
-from geraniumbend.wire import load_structs
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from geraniumbend.replication._core import Core
     from geraniumbend.replication._members import Member
+    from geraniumbend.replication._voter import Voter
 
 
-# Time after a restart in which a voter grants no vote, in election timeouts: it may
-# have acknowledged a heartbeat just before it ended. The lease of the old leader lasts
-# at most 0.67 of a timeout (see `LEASE_SHARE`), and a clock that runs 10 % fast
-# shortens 0.75 to 0.68.
-RESTART_NO_VOTE_TIMEOUTS = 0.75
 # Range of the time between the campaigns of a restarted replica that hears no leader,
 # in election timeouts. It is short because only a campaign ends the outage after a
 # crash of all replicas, and a pre-vote does not disturb a live leader.
@@ -59,24 +54,24 @@
     vote for it, so that a replica that returns from a partition does not depose a
     live leader (Ongaro, Consensus, section 9.6).
 
-    A restarted voter grants no vote for a while, because it may have acknowledged a
-    leader just before. That time ends early if all voters respond to a pre-vote and
-    none of them leads or follows a leader: then no leader is left that a lease could
-    protect. Each voter sends the number of its process along and grants the vote only
-    if it is sent back, so a voter that restarts in between does not grant it.
-
     Parameters
     ----------
     core : Core
         State of the replica.
+    voter : Voter
+        Votes of this replica.
     on_elected : callable
         Called when this replica has won an election.
     """
 
-    def __init__(self, core: Core, on_elected: Callable[[], None]) -> None:
+    def __init__(
+        self, core: Core, voter: Voter, on_elected: Callable[[], None]
+    ) -> None:
         self._core = core
         self._on_elected = on_elected
-        self._is_campaigning = False
+        self._voter = voter
+        # Newest response of each voter in the present campaign.
+        self._responses: dict[str, Any] = {}
         self._reported_at = float("-inf")
 
     async def run(self) -> None:
@@ -125,9 +120,9 @@
             Whether the leader transfers its leadership to this replica. There is no
             pre-vote then, and voters grant the vote although the leader is live.
         """
-        if self._is_campaigning:
+        if self._voter.is_campaigning:
             return
-        self._is_campaigning = True
+        self._voter.is_campaigning = True
         try:
             await self._campaign(is_transfer)
         except GeraniumbendError:
@@ -135,51 +130,15 @@
             # election timeout starts a new campaign.
             pass
         finally:
-            self._is_campaigning = False
-
-    async def handle_vote_request(self, request: Any) -> Any:
-        """Grant or deny a vote or a pre-vote."""
-        core = self._core
-        core.check_request(request)
-        granted = await self._decide_vote(request)
-        idle = not granted and request.is_trial and self._is_idle(request)
-        return load_structs("replication").VoteResponse(
-            term=core.term,
-            granted=granted,
-            incarnation=core.vote_state.incarnation,
-            idle_session=core.session if granted or idle else 0,
-        )
-
-    def _is_idle(self, request: Any) -> bool:
-        """Return whether only the restart keeps this voter from granting a pre-vote."""
-        core = self._core
-        return (
-            core.can_vote()
-            and not core.is_installing
-            and not core.is_leader
-            and self._is_bound_by_restart()
-            and self._is_current(request)
-            and request.term > core.term
-        )
-
-    def _is_bound_by_restart(self) -> bool:
-        """Return whether an earlier process may have acknowledged a live leader."""
-        core = self._core
-        if core.leader_contact_at != core.started_at:
-            return False
-        limit_s = RESTART_NO_VOTE_TIMEOUTS * core.election_timeout_s
-        return core.timers.now() - core.started_at < limit_s
-
-    def _is_current(self, request: Any) -> bool:
-        """Return whether the candidate's log holds at least what this one holds."""
-        log = self._core.log
-        own = (log.last_term, log.last_index)
-        return bool((request.last_term, request.last_index) >= own)
+            self._voter.is_campaigning = False
 
     async def _campaign(self, is_transfer: bool) -> None:
         core = self._core
+        if not is_transfer and self._voter.may_elect_other(core.node):
+            return
         term = core.term
         sessions: dict[str, int] = {}
+        self._responses.clear()
         if not is_transfer:
             pre_vote = await self._run_pre_vote(term + 1)
             if pre_vote is None:
@@ -189,10 +148,15 @@
             return
         core.leader = core.leader_address = ""
         vote_state = core.vote_state._replace(term=term + 1, voted_for=core.node)
-        await core.save_vote_state(vote_state)
-        if core.vote_state != vote_state:
-            return
-        won = await self._collect_votes(vote_state.term, is_transfer, sessions)
+        save = asyncio.ensure_future(core.save_vote_state(vote_state))
+        try:
+            won = await self._collect_votes(
+                vote_state.term, is_transfer, sessions, save
+            )
+            # Its own vote counts, and it may lead, only once the vote is durable.
+            await save
+        finally:
+            save.cancel()
         if won and core.vote_state == vote_state and core.can_vote():
             self._on_elected()
 
@@ -207,7 +171,7 @@
         """
         core = self._core
         members = core.members
-        votes = int(core.is_voter() and not self._is_bound_by_restart())
+        votes = int(core.is_voter() and not self._voter.is_bound_by_restart())
         sessions: dict[str, int] = {}
         others = [member for member in members.voters() if member.name != core.node]
         tasks = [
@@ -246,8 +210,13 @@
             log_event(509, shard=core.shard, term=core.term, missing=missing)
 
     async def _collect_votes(
-        self, term: int, is_transfer: bool, sessions: Mapping[str, int]
+        self,
+        term: int,
+        is_transfer: bool,
+        sessions: Mapping[str, int],
+        save: asyncio.Future[None],
     ) -> bool:
+        """Return whether a majority votes for this replica, its own vote included."""
         core = self._core
         members = core.members
         votes = int(core.is_voter())
@@ -258,6 +227,7 @@
                     term,
                     is_transfer=is_transfer,
                     idle_session=sessions.get(member.name, 0),
+                    save=save,
                 )
             )
             for member in members.voters()
@@ -265,7 +235,8 @@
         ]
         waiting = set(tasks)
         try:
-            while waiting and votes < members.majority():
+            # It ends as soon as the votes that are missing cannot make a majority.
+            while votes < members.majority() <= votes + len(waiting):
                 done, waiting = await asyncio.wait(
                     waiting, return_when=asyncio.FIRST_COMPLETED
                 )
@@ -281,6 +252,7 @@
         is_pre_vote: bool = False,
         is_transfer: bool = False,
         idle_session: int = 0,
+        save: asyncio.Future[None] | None = None,
     ) -> _Vote:
         core = self._core
         request = build_request(
@@ -295,66 +267,71 @@
             idle_session=idle_session,
         )
         try:
-            response = await call_peer(
-                core,
-                member.address,
-                "vote",
-                request,
-                "VoteResponse",
-                self._choose_vote_timeout(is_pre_vote),
-            )
+            if save is not None:
+                await self._wait_for_turn(member, term, save)
+            response = await self._call_voter(member, request)
             core.observe_term(response.term)
         except GeraniumbendError as error:
             return _Vote(member.name, reason=error.message)
+        self._responses[member.name] = response
         if response.incarnation != member.incarnation:
             return _Vote(member.name, reason="has lost its log")
         granted = bool(response.granted)
         reason = "" if granted else "denies its vote"
         return _Vote(member.name, granted, response.idle_session or 0, reason)
 
-    def _choose_vote_timeout(self, is_pre_vote: bool) -> float:
+    async def _wait_for_turn(
+        self, member: Member, term: int, save: asyncio.Future[None]
+    ) -> None:
+        """Wait until a voter may be asked: usually at once, else after the own vote.
+
+        A candidate that restarts before its own vote is durable may ask for the same
+        term again with a shorter log. A voter of an earlier release would not compare
+        the logs again.
+        """
+        if member.name not in self._responses:
+            pre_vote = asyncio.ensure_future(
+                self._request_vote(member, term, is_pre_vote=True)
+            )
+            either: set[asyncio.Future[Any]] = {pre_vote, save}
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            await cancel_tasks([pre_vote])
+        known = self._responses.get(member.name)
+        if known is None or not known.rechecks_log:
+            await asyncio.shield(save)
+
+    async def _call_voter(self, member: Member, request: Any) -> Any:
+        """Call a voter; repeat the call while writes turn out to take longer."""
+        core = self._core
+        started_at = core.timers.now()
+        waited_s = 0.0
+        while True:
+            limit_s = self._choose_vote_timeout(member.name, request.is_trial)
+            try:
+                return await call_peer(
+                    core,
+                    member.address,
+                    "vote",
+                    request,
+                    "VoteResponse",
+                    limit_s - waited_s,
+                )
+            except GeraniumbendError:
+                waited_s = core.timers.now() - started_at
+                longer_s = self._choose_vote_timeout(member.name, request.is_trial)
+                if waited_s < limit_s or longer_s <= waited_s:
+                    raise
+
+    def _choose_vote_timeout(self, voter: str, is_pre_vote: bool) -> float:
         """Return the timeout of a vote request in seconds."""
         core = self._core
         if not is_pre_vote:
-            return core.election_timeout_s + SLOW_DISK_WRITES * core.vote_save_s
+            known = self._responses.get(voter)
+            reported_s = 0.0 if known is None else (known.save_ms or 0) / 1000
+            save_s = max(core.vote_delay_s(), reported_s)
+            return core.election_timeout_s + SLOW_DISK_WRITES * save_s
         timeouts = RESTART_VOTE_WAIT_TIMEOUTS if self._is_restarting() else 1.0
         return timeouts * core.election_timeout_s
 
-    async def _decide_vote(self, request: Any) -> bool:
-        core = self._core
-        if not core.can_vote() or core.is_installing:
-            return False
-        if not request.is_transfer and self._may_have_leader(request):
-            return False
-        is_current = self._is_current(request)
-        if request.is_trial:
-            return bool(is_current and request.term > core.term)
-        if request.term < core.term:
-            return False
-        vote_state = core.vote_state
-        if request.term > core.term:
-            core.step_down()
-            core.leader = core.leader_address = ""
-            vote_state = vote_state._replace(term=request.term, voted_for="")
-        if is_current and vote_state.voted_for in ("", request.candidate):
-            vote_state = vote_state._replace(voted_for=request.candidate)
-            core.timeout_start = core.timers.now()
-        if vote_state != core.saved_vote_state:
-            await core.save_vote_state(vote_state)
-        # Another message may have raised the term while the vote was written.
-        return (
-            core.term == request.term and core.vote_state.voted_for == request.candidate
-        )
-
-    def _may_have_leader(self, request: Any) -> bool:
-        """Return whether a leader with a lease may exist as far as this voter knows."""
-        core = self._core
-        if core.is_leader:
-            return True
-        if core.leader_contact_at == core.started_at:
-            is_confirmed_idle = request.idle_session == core.session
-            return self._is_bound_by_restart() and not is_confirmed_idle
-        return core.timers.now() - core.leader_contact_at < core.election_timeout_s
-
     def _is_sole_voter(self) -> bool:
         return len(self._core.members.voters()) == 1 and self._core.is_voter()
--- a/src/geraniumbend/replication/_handlers.py
+++ b/src/geraniumbend/replication/_handlers.py
@@ -16,6 +16,7 @@
     from geraniumbend.replication._elections import Elections
     from geraniumbend.replication._follower import FollowerRole
     from geraniumbend.replication._leader import LeaderRole
+    from geraniumbend.replication._voter import Voter
 
 
 class Handlers:
@@ -23,8 +24,8 @@
 
     Parameters
     ----------
-    core, leading, elections, following : object
-        State, leader part, election part and follower part of the replica.
+    core, leading, elections, voter, following : object
+        State, leader part, election part, votes and follower part of the replica.
     require_running : callable
         Raises UnavailableError unless the replica is running.
     """
@@ -34,6 +35,7 @@
         core: Core,
         leading: LeaderRole,
         elections: Elections,
+        voter: Voter,
         following: FollowerRole,
         require_running: Callable[[], None],
     ) -> None:
@@ -41,6 +43,7 @@
         self._core = core
         self._leading = leading
         self._elections = elections
+        self._voter = voter
         self._following = following
         self._require_running = require_running
 
@@ -50,7 +53,7 @@
         methods: dict[str, tuple[Any, Callable[[Any], Awaitable[Any]]]] = {
             "append": (structs.AppendRequest, self._following.append),
             "snapshot": (structs.SnapshotRequest, self._following.receive_snapshot),
-            "vote": (structs.VoteRequest, self._elections.handle_vote_request),
+            "vote": (structs.VoteRequest, self._voter.handle_vote_request),
             "transfer": (structs.TransferRequest, self._handle_transfer),
         }
         for action, (request_type, respond) in methods.items():
--- a/src/geraniumbend/replication/_replica.py
+++ b/src/geraniumbend/replication/_replica.py
@@ -19,6 +19,7 @@
 from geraniumbend.replication._membership_changes import MembershipChanges
 from geraniumbend.replication._messages import call_peer, cancel_tasks
 from geraniumbend.replication._startup import Startup
+from geraniumbend.replication._voter import Voter
 from geraniumbend.replication._waits import describe_waits
 
 if TYPE_CHECKING:
@@ -132,7 +133,8 @@
             rng or random.Random(),
         )
         self._leading = LeaderRole(self._core)
-        self._elections = Elections(self._core, self._leading.start)
+        self._voter = Voter(self._core)
+        self._elections = Elections(self._core, self._voter, self._leading.start)
         self._following = FollowerRole(self._core)
         self._core.min_durable_copies = settings.tolerated_losses + 1
         self._startup = Startup(self._core, voters, settings.may_found)
@@ -141,6 +143,7 @@
             self._core,
             self._leading,
             self._elections,
+            self._voter,
             self._following,
             self._require_running,
         )
--- a/src/geraniumbend/wire/_specs.py
+++ b/src/geraniumbend/wire/_specs.py
@@ -518,12 +518,16 @@
                 2: (2, "granted", False),
                 3: (10, "incarnation", False),
                 4: (10, "idle_session", False),
+                5: (10, "save_ms", False),
+                6: (2, "rechecks_log", False),
             },
             [
                 ("term", None),
                 ("granted", None),
                 ("incarnation", None),
                 ("idle_session", 0),
+                ("save_ms", 0),
+                ("rechecks_log", False),
             ],
         ),
         "SnapshotRequest": (
--- a/src/geraniumbend/wire/replication.thrift
+++ b/src/geraniumbend/wire/replication.thrift
@@ -83,6 +83,10 @@
   3: i64 incarnation
   /** Number of the voter's process if only its restart keeps it from voting, else 0. */
   4: i64 idle_session = 0
+  /** Time that a write of the voter's vote takes, in milliseconds; 0 if unknown. */
+  5: i64 save_ms = 0
+  /** Whether the voter compares the logs again when a vote request is repeated. */
+  6: bool rechecks_log = false
 }
 
 struct SnapshotRequest {
--- a/tests/replication/test_member_guards.py
+++ b/tests/replication/test_member_guards.py
@@ -63,7 +63,7 @@
 
         cluster.network.handlers[two][vote] = answer_as_emptied
         # Only the other voter asks for votes.
-        cluster.replicas[two]._elections._is_campaigning = True
+        cluster.replicas[two]._voter.is_campaigning = True
         await cluster.run(4.0)
         self.assertNotEqual(cluster.replicas[one].dump()["role"], "leader")
 
--- a/tests/replication/test_restarts.py
+++ b/tests/replication/test_restarts.py
@@ -78,7 +78,7 @@
         await cluster.start(voter)
         core = cluster.replicas[voter]._core
         request = SimpleNamespace(idle_session=core.session + 2)
-        self.assertTrue(cluster.replicas[voter]._elections._may_have_leader(request))
+        self.assertTrue(cluster.replicas[voter]._voter._may_have_leader(request))
 
     async def expect_leader(self, cluster):
         await cluster.until(
--- a/tests/replication/test_slow_disks.py
+++ b/tests/replication/test_slow_disks.py
@@ -63,6 +63,19 @@
     def terms(self, cluster):
         return {replica.dump()["term"] for replica in cluster.replicas.values()}
 
+    def vote_request(self, cluster, name, term, candidate):
+        log = cluster.replicas[name]._core.log
+        return STRUCTS.VoteRequest(
+            version=MESSAGE_VERSION,
+            cluster_id=cluster.replicas[name].cluster_id,
+            term=term,
+            candidate=candidate,
+            last_index=log.last_index,
+            last_term=log.last_term,
+            is_trial=False,
+            is_transfer=False,
+        )
+
     async def call(self, cluster, name, action, request, response_type):
         handler = cluster.network.handlers[name][method_name("config", action)]
         return decode(response_type, await cluster.finish(handler(encode(request))))
@@ -218,15 +231,113 @@
             **fields,
         )
 
-    def vote_request(self, cluster, name, term, candidate):
-        dump = cluster.replicas[name].dump()
-        return STRUCTS.VoteRequest(
-            version=MESSAGE_VERSION,
-            cluster_id=dump["cluster_id"],
-            term=term,
-            candidate=candidate,
-            last_index=dump["last_index"],
-            last_term=dump["term"],
-            is_trial=False,
-            is_transfer=False,
-        )
+
+class ElectionTest(SlowDiskTestCase):
+    """Elections whose votes take longer to write than an election timeout."""
+
+    async def test_new_cluster_takes_changes_although_syncs_are_slow(self):
+        """Guards against candidates that depose each other while votes are written."""
+        for sync_s, count, limit_s in (
+            (0.5, 3, 4),
+            (0.5, 5, 4),
+            (1, 3, 12),
+            (1, 5, 12),
+        ):
+            for seed in range(3):
+                with self.subTest(sync_s=sync_s, count=count, seed=seed):
+                    cluster = self.create(sync_s, count, seed)
+                    await self.start(cluster)
+                    await self.measure_change(cluster, b"first", limit_s)
+                    await self.measure_change(cluster, b"second", 4)
+                    self.assertEqual(self.terms(cluster), {1})
+
+    async def test_cluster_with_one_fast_disk_elects_a_leader(self):
+        """Guards against campaigns that wait only as long as the own disk needs."""
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                cluster = self.create([0.005, 1, 1], seed=seed)
+                await self.start(cluster)
+                await self.measure_change(cluster, b"first", 12)
+                await self.measure_change(cluster, b"second", 4)
+
+    async def test_restarted_cluster_takes_changes_although_syncs_are_slow(self):
+        """Guards against campaigns that end before a vote can be written."""
+        cluster = await self.open_slow(1.0)
+        for name in cluster.nodes:
+            await cluster.kill(name)
+        await self.start(cluster)
+        await self.measure_change(cluster, b"second", 12)
+        await self.measure_change(cluster, b"third", 4)
+
+    async def test_voter_denies_pre_votes_while_it_writes_a_vote(self):
+        """Guards against a campaign that undoes one whose votes are being written."""
+        cluster, name = await self.open_isolated_voter()
+        term = cluster.replicas[name].dump()["term"]
+        handler = cluster.network.handlers[name][method_name("config", "vote")]
+        request = self.vote_request(cluster, name, term + 1, "n9")
+        vote = asyncio.ensure_future(handler(encode(request)))
+        await cluster.run(0.2)
+        self.assertFalse((await self.ask(cluster, name, term + 2, "n8", True)).granted)
+        self.assertTrue((await self.ask(cluster, name, term + 2, "n9", True)).granted)
+        await cluster.finish(vote)
+        await cluster.run(2 * 2 * 0.5)
+        self.assertTrue((await self.ask(cluster, name, term + 2, "n8", True)).granted)
+
+    async def test_repeated_vote_request_with_a_shorter_log_is_denied(self):
+        """Guards against a leader that restarted and lost entries after its request."""
+        cluster, name = await self.open_isolated_voter()
+        term = cluster.replicas[name].dump()["term"] + 1
+        self.assertTrue((await self.ask(cluster, name, term, "n9")).granted)
+        last_index = cluster.replicas[name].dump()["last_index"]
+        response = await self.ask(cluster, name, term, "n9", last_index=last_index - 1)
+        self.assertFalse(response.granted)
+
+    async def test_voter_of_an_earlier_release_is_asked_after_the_own_vote(self):
+        """Guards against two votes of a voter that does not compare the logs again."""
+        cluster = await self.open_slow(0.0)
+        leader = await cluster.leader()
+        candidate, voter = [name for name in cluster.nodes if name != leader.node]
+        asked = self.hide_new_fields(cluster, voter)
+        await cluster.kill(leader.node)
+        cluster.disks[candidate].sync_s = 0.5
+        cluster.replicas[voter]._elections.campaign = self.skip_campaign
+        await cluster.until(lambda: asked)
+        core = cluster.replicas[candidate]._core
+        self.assertEqual(core.saved_vote_state.voted_for, candidate)
+
+    async def open_isolated_voter(self):
+        """Return a cluster with slow disks and a voter that hears nobody."""
+        cluster = await self.open_slow(0.5)
+        leader = await cluster.leader()
+        name = next(name for name in cluster.nodes if name != leader.node)
+        cluster.replicas[name]._elections.campaign = self.skip_campaign
+        cluster.network.isolate(name, cluster.nodes)
+        await cluster.run(0.6)
+        return cluster, name
+
+    async def skip_campaign(self, is_transfer):
+        """Stand in for a campaign of a voter that is to vote for others only."""
+
+    async def ask(self, cluster, name, term, candidate, is_trial=False, **changes):
+        request = self.vote_request(cluster, name, term, candidate)
+        request.is_trial = is_trial
+        for field, value in changes.items():
+            setattr(request, field, value)
+        return await self.call(cluster, name, "vote", request, STRUCTS.VoteResponse)
+
+    def hide_new_fields(self, cluster, name):
+        """Make a voter answer as earlier releases do; return its vote requests."""
+        asked = []
+        method = method_name("config", "vote")
+        handler = cluster.network.handlers[name][method]
+
+        async def answer(body):
+            request = decode(STRUCTS.VoteRequest, body)
+            if not request.is_trial:
+                asked.append(request)
+            response = decode(STRUCTS.VoteResponse, await handler(body))
+            response.save_ms, response.rechecks_log = 0, False
+            return encode(response)
+
+        cluster.network.handlers[name][method] = answer
+        return asked
