Let repeated requests share the write of a departure

What callers saw: a draining or leaving backend server gets 503 at each try if a sync takes longer than the 0.6 s that a request waits for disks.

Cause: each try appended the record again and waited for the sync of its own copy, behind those of the tries before.

The fix: a host remembers the write of the newest record of each server. A repeated request waits for that write, or finds it done; the write goes on when a request gives up. No time limit has changed.

Evidence: test_departure_is_acknowledged_although_a_sync_outlasts_each_try (1 s a sync, virtual time): not acknowledged in 4 s before, acknowledged now.

--- a/src/geraniumbend/membership/_departure_copies.py
+++ b/src/geraniumbend/membership/_departure_copies.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 
 from geraniumbend.errors import GeraniumbendError, ProtocolError, UnavailableError
 from geraniumbend.membership._records import Record, pack_record, unpack_records
@@ -17,6 +17,8 @@
     from geraniumbend.ports import RpcCaller
     from geraniumbend.timers import TimerService
 
+T = TypeVar("T")
+
 # Stores departures on the disk of the called host.
 STORE_METHOD = "membership.store_departures"
 # Stores departures on a majority of the voters' disks.
@@ -27,6 +29,28 @@
 MAX_REMEMBERED = 4_096
 
 
+class _Write(NamedTuple):
+    """Write of a record on the disk of this host.
+
+    Parameters
+    ----------
+    order : tuple
+        Version of the record.
+    task : asyncio.Task of None
+        Ends when the record is durable.
+    """
+
+    order: tuple[int, int, int, str]
+    task: asyncio.Task[None]
+
+    def stores(self, record: Record) -> bool:
+        """Return whether a version is being stored or has been."""
+        has_failed = self.task.done() and (
+            self.task.cancelled() or self.task.exception() is not None
+        )
+        return self.order == record.order and not has_failed
+
+
 class DepartureCopies:
     """Copies of departures on the disks of the control hosts that vote.
 
@@ -67,6 +91,7 @@
         self._serving = False
         self._tasks: set[asyncio.Task[bool]] = set()
         self._copied: dict[str, tuple[int, int, int, str]] = {}
+        self._writes: dict[str, _Write] = {}
 
     def register(self, server: Any) -> None:
         """Register the RPC methods with which other processes store departures."""
@@ -136,7 +161,7 @@
     async def _copy(self, address: str, record: Record, timeout_s: float) -> bool:
         try:
             if address == self._address:
-                await self._log.append(record)
+                await self._write(record)
             else:
                 body = pack_departure(record)
                 await self._clients.call(address, STORE_METHOD, body, timeout_s)
@@ -148,15 +173,25 @@
             return False
         return True
 
+    async def _write(self, record: Record) -> None:
+        """Store a record on this host; repeated requests share one write.
+
+        A sync may outlast the wait of each request. The write goes on meanwhile, and a
+        later request finds it done.
+        """
+        write = self._writes.get(record.key)
+        if write is None or not write.stores(record):
+            task = asyncio.ensure_future(self._log.append(record))
+            write = _Write(record.order, task)
+            _replace_newest(self._writes, record.key, write)
+        await asyncio.shield(write.task)
+
     def _remember(self, record: Record) -> None:
-        self._copied.pop(record.key, None)
-        self._copied[record.key] = record.order
-        if len(self._copied) > MAX_REMEMBERED:
-            del self._copied[next(iter(self._copied))]
+        _replace_newest(self._copied, record.key, record.order)
 
     async def _handle_store(self, body: bytes) -> bytes:
         records = self._receive(body)
-        await asyncio.gather(*(self._log.append(record) for record in records))
+        await asyncio.gather(*(self._write(record) for record in records))
         return b""
 
     async def _handle_copy(self, body: bytes) -> bytes:
@@ -179,6 +214,14 @@
         return records
 
 
+def _replace_newest(items: dict[str, T], key: str, value: T) -> None:
+    """Set an item and drop the oldest one if there are too many."""
+    items.pop(key, None)
+    items[key] = value
+    if len(items) > MAX_REMEMBERED:
+        del items[next(iter(items))]
+
+
 def pack_departure(record: Record) -> bytes:
     """Return the body of a call that stores a departure."""
     structs = load_structs("membership")
--- a/tests/membership/test_departures.py
+++ b/tests/membership/test_departures.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import random
 import unittest
 
@@ -15,7 +17,7 @@
 from geraniumbend.membership._departure_log import MIN_COMPACT_BYTES
 from geraniumbend.membership._records import TOMBSTONE_S
 from tests.membership.network import Cluster, FakeRpcCaller, announcement
-from tests.replication.fakes import MemoryDisk
+from tests.replication.fakes import MemoryDisk, SlowDisk
 
 FOLDER = "data"
 
@@ -108,6 +110,25 @@
         for node in self.cluster.nodes.values():
             self.assertTrue(node.servers()["s1"].draining)
 
+    async def test_departure_is_acknowledged_although_a_sync_outlasts_each_try(self):
+        """Guards against repeated requests that each wait for a sync of their own."""
+        await self.announce_and_save()
+        for name in self.cluster.names:
+            disk = SlowDisk(self.cluster.timers, 1.0)
+            disk.names, disk.durable_names = (
+                self.disks[name].names,
+                self.disks[name].durable_names,
+            )
+            self.logs[name]._disk = disk
+        started_at = self.cluster.timers.now()
+        hosts = itertools.cycle(self.cluster.names)
+        is_stored = False
+        while not is_stored and self.cluster.timers.now() < started_at + 4.0:
+            with contextlib.suppress(UnavailableError):
+                await self.finish(self.service(next(hosts)).deregister("s1"))
+                is_stored = True
+        self.assertTrue(is_stored)
+
     async def test_departure_wins_over_a_peer_that_restored_the_server_first(self):
         await self.announce_and_save()
         self.disks["g0"].fail_at = 0
