Let an earlier attempt confirm a change while a later one runs

What callers saw: with syncs of 1 s a change through a host that does not lead takes 5 to 6 s or fails; with a commit that takes over 2 s it always fails.

Cause: an attempt was cancelled after 2 s and the change proposed anew, so the result of the first commit was thrown away and the change queued again behind the entries that the first attempt had added.

The fix: after 2 s without a response another attempt starts beside the first, and the first result of any of them counts. Changes carry a change id and are applied once. The limit of 6 s for all attempts has not changed.

Evidence: test_change_whose_commit_outlasts_an_attempt_is_accepted (commit after 3 s, virtual time) fails before (outcome unknown after 6 s) and passes now. tests.configuration and tests.adapters.test_operators_api: 47 tests pass.

--- a/src/geraniumbend/configuration/_leader_relay.py
+++ b/src/geraniumbend/configuration/_leader_relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from geraniumbend.errors import NotLeaderError, UnavailableError
 from geraniumbend.wire import decode, encode, load_structs
@@ -14,9 +14,10 @@
     from geraniumbend.ports import Log, RpcCaller
     from geraniumbend.timers import TimerService
 
-# An election takes less than 2 s; a proposal has time for one election and a retry.
+# Time for all attempts of a proposal. Without a response for `ATTEMPT_PERIOD_S`, which
+# an election usually takes less than, another attempt starts beside the first.
 PROPOSE_TIMEOUT_S = 6.0
-ATTEMPT_TIMEOUT_S = 2.0
+ATTEMPT_PERIOD_S = 2.0
 RETRY_DELAY_S = 0.05
 
 
@@ -75,16 +76,25 @@
             If no leader responded in time; the outcome is unknown.
         """
         deadline = self._timers.now() + PROPOSE_TIMEOUT_S
-        while True:
-            try:
-                return await self._attempt(command)
-            except UnavailableError as error:
-                if self._timers.now() + RETRY_DELAY_S > deadline:
-                    raise UnavailableError(
-                        f"the outcome of the change is unknown: {error.message}",
-                        "send it again with the same change id",
-                    ) from error
-            await self._timers.sleep(RETRY_DELAY_S)
+        attempts: set[asyncio.Task[bytes]] = set()
+        try:
+            while True:
+                remaining_s = deadline - self._timers.now()
+                attempt = self._attempt(command, remaining_s)
+                attempts.add(asyncio.ensure_future(attempt))
+                wait_s = min(ATTEMPT_PERIOD_S, remaining_s)
+                try:
+                    return await self._wait_for_attempts(attempts, wait_s)
+                except UnavailableError as error:
+                    if self._timers.now() + RETRY_DELAY_S > deadline:
+                        raise UnavailableError(
+                            f"the outcome of the change is unknown: {error.message}",
+                            "send it again with the same change id",
+                        ) from error
+                await self._timers.sleep(RETRY_DELAY_S)
+        finally:
+            for unfinished in attempts:
+                unfinished.cancel()
 
     async def confirm(self, timeout_s: float) -> int:
         """Return a revision that includes every change accepted before the call.
@@ -122,20 +132,43 @@
                 "check that a majority of control hosts runs",
             ) from error
 
-    async def _attempt(self, command: bytes) -> bytes:
+    async def _wait_for_attempts(
+        self, attempts: set[asyncio.Task[bytes]], timeout_s: float
+    ) -> bytes:
+        """Return the result of the first attempt that succeeds.
+
+        Attempts that have failed are removed. The others go on: a slow disk may still
+        confirm them, and a repeated change is applied once.
+
+        Raises
+        ------
+        UnavailableError
+            If there is no result yet.
+        """
+        timeout = asyncio.ensure_future(self._timers.sleep(timeout_s))
+        waits: set[asyncio.Future[Any]] = {*attempts, timeout}
+        try:
+            done, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timeout.cancel()
+        error = UnavailableError("the configuration log did not respond in time")
+        for attempt in done & attempts:
+            attempts.discard(attempt)
+            try:
+                return attempt.result()
+            except UnavailableError as failure:
+                error = failure
+        raise error
+
+    async def _attempt(self, command: bytes, timeout_s: float) -> bytes:
         try:
-            async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
-                return await self._log.propose(command)
+            return await self._log.propose(command)
         except NotLeaderError as error:
             if not error.leader:
                 raise
             return await self._clients.call(
-                error.leader, "configuration.propose", command, ATTEMPT_TIMEOUT_S
+                error.leader, "configuration.propose", command, timeout_s
             )
-        except TimeoutError as error:
-            raise UnavailableError(
-                "the configuration log did not respond in time"
-            ) from error
 
     async def _send_confirmed(self, body: bytes) -> bytes:
         index = await self._log.read_barrier()
--- a/tests/configuration/cluster.py
+++ b/tests/configuration/cluster.py
@@ -29,6 +29,8 @@
 
     async def propose(self, command):
         self._check()
+        if self.cluster.commit_delay_s:
+            await self.cluster.timers.sleep(self.cluster.commit_delay_s)
         result = self.cluster.commit(command)
         if self.cluster.responses_to_drop:
             self.cluster.responses_to_drop -= 1
@@ -45,12 +47,14 @@
 
     Hosts in `partitioned` do not reach the log; calls to hosts in `unresponsive` time
     out. The next `responses_to_drop` proposals are committed, but fail at the caller.
+    Proposals are committed `commit_delay_s` after they reach the leader.
     """
 
     def __init__(self, timers, names=("a", "b", "c")):
         self.leader, self.index = names[0], 0
         self.partitioned, self.unresponsive, self.calls = set(), set(), []
         self.responses_to_drop = 0
+        self.commit_delay_s = 0.0
         self.members_list = []
         self.stores = {name: ConfigurationStore() for name in names}
         self.handlers = {name: {} for name in names}
@@ -84,10 +88,19 @@
     async def call(self, address, method, body, timeout_s):
         self.calls.append((address, method))
         if address not in self.unresponsive:
-            response = await asyncio.shield(
-                asyncio.ensure_future(self.handlers[address][method](body))
-            )
+            call = asyncio.ensure_future(self.handlers[address][method](body))
+            if self.commit_delay_s:
+                await self._wait(call, timeout_s)
+            response = await asyncio.shield(call)
         if address in self.unresponsive:
             await self.timers.sleep(timeout_s)
             raise UnavailableError("no response")
         return response
+
+    async def _wait(self, call, timeout_s):
+        """Wait for a call; the receiver completes it although the caller gives up."""
+        timeout = asyncio.ensure_future(self.timers.sleep(timeout_s))
+        await asyncio.wait({call, timeout}, return_when=asyncio.FIRST_COMPLETED)
+        timeout.cancel()
+        if not call.done():
+            raise UnavailableError("no response")
--- a/tests/configuration/test_service.py
+++ b/tests/configuration/test_service.py
@@ -99,6 +99,15 @@
             )
         self.assertIn("same change id", caught.exception.remedy)
 
+    async def test_change_whose_commit_outlasts_an_attempt_is_accepted(self):
+        """Guards against changes that fail because a sync takes longer than a try."""
+        self.cluster.commit_delay_s = 3.0
+        started_at = self.timers.now()
+        steps = [SetGroup(Group("a", "app=x"))]
+        change = self.follower_host.apply(steps, 0, new_id(), "eva")
+        self.assertEqual((await self.run_to_end(change)).revision, 1)
+        self.assertLess(self.timers.now() - started_at, 3.5)
+
     async def test_wait_returns_live_gateways_with_an_older_revision(self):
         self.cluster.members_list = [
             FakeMember("g1", "gateway", 3),
