Propose the record of a new cluster once while its commit waits

What callers saw: on slow disks the configuration log of a new cluster starts with a lot of equal commands: with syncs of 1 s, 41 entries in 2 s, behind which the first changes wait.

Cause: the control process retries the record of the cluster's id each 0.1 s and did not wait for the proposal that was still to be committed.

The fix: calls share the running proposal.

Evidence: test_repeated_bootstrap_appends_one_command_while_its_commit_waits: 10 commands before, 1 now.

--- a/src/geraniumbend/configuration/_service.py
+++ b/src/geraniumbend/configuration/_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import uuid
 import zlib
@@ -149,6 +150,7 @@
         self._timers = timers
         self._policies = policies
         self._clock = clock
+        self._bootstrap: asyncio.Task[bytes] | None = None
 
     def register(self, server: RpcServer) -> None:
         """Register the RPC methods for subscribers and other control hosts."""
@@ -356,10 +358,18 @@
         return self.store.read_source()
 
     async def bootstrap(self, cluster_id: str, order_shards: int) -> None:
-        """Set id and number of order shards of a cluster that has no id yet."""
-        structs = load_structs("configuration")
-        founding = structs.Founding(cluster_id=cluster_id, order_shards=order_shards)
-        await self._relay.propose(encode(structs.Command(founding=founding)))
+        """Set id and number of order shards of a cluster that has no id yet.
+
+        Calls while the command waits for its commit share its result.
+        """
+        if self._bootstrap is None or self._bootstrap.done():
+            structs = load_structs("configuration")
+            founding = structs.Founding(
+                cluster_id=cluster_id, order_shards=order_shards
+            )
+            command = encode(structs.Command(founding=founding))
+            self._bootstrap = asyncio.ensure_future(self._relay.propose(command))
+        await asyncio.shield(self._bootstrap)
 
     async def confirm(self) -> int:
         """Wait until this host has applied every change accepted before the call.
--- a/tests/configuration/test_service.py
+++ b/tests/configuration/test_service.py
@@ -108,6 +108,16 @@
         self.assertEqual((await self.run_to_end(change)).revision, 1)
         self.assertLess(self.timers.now() - started_at, 3.5)
 
+    async def test_repeated_bootstrap_appends_one_command_while_its_commit_waits(self):
+        """Guards against a log that fills up while a sync keeps the first command."""
+        self.cluster.commit_delay_s = 1.0
+        calls = [
+            asyncio.ensure_future(self.cluster.services["a"].bootstrap("id", 1))
+            for _ in range(10)
+        ]
+        await self.run_to_end(asyncio.gather(*calls))
+        self.assertEqual(self.cluster.index, 1)
+
     async def test_wait_returns_live_gateways_with_an_older_revision(self):
         self.cluster.members_list = [
             FakeMember("g1", "gateway", 3),
