--- a/bench/_experiments.py
+++ b/bench/_experiments.py
@@ -17,10 +17,13 @@
         Seed of all random choices.
     scale : float, default=1.0
         Factor on the duration of the load; smaller for tests.
+    faults : tuple of str, default=()
+        Names of the faults to draw from; all if empty.
     """
 
     seed: int = 1
     scale: float = 1.0
+    faults: tuple[str, ...] = ()
 
 
 Experiment = Callable[[Options], Coroutine[Any, Any, dict[str, Any]]]
--- a/bench/_run.py
+++ b/bench/_run.py
@@ -40,10 +40,14 @@
     parser.add_argument("--json", action="store_true", help="print one JSON line")
     parser.add_argument("--seed", type=int, default=Options().seed)
     parser.add_argument("--scale", type=float, default=Options().scale)
+    parser.add_argument(
+        "--faults", default="", help="comma-separated names, for real_machine"
+    )
     parsed = parser.parse_args(arguments)
+    names = tuple(name for name in parsed.faults.split(",") if name)
     try:
         result = uvloop.run(
-            experiments.get(parsed.name)(Options(parsed.seed, parsed.scale))
+            experiments.get(parsed.name)(Options(parsed.seed, parsed.scale, names))
         )
     except GeraniumbendError as error:
         print(f"error: {error}", file=sys.stderr)
