Check the address space of the one-file program

Callers see nothing. The bound on arenas calls into the C library by ctypes, which the one-file program has to carry; nothing tested that it does.

The check of one process per role is the same as before; its start and stop moved to run_role, which both tests use.

--- a/tests/cli/test_address_space.py
+++ b/tests/cli/test_address_space.py
@@ -29,6 +29,13 @@
 STOP_TIMEOUT_S = 20.0
 
 
+def read_peak_mb(pid):
+    """Return the largest address space that a process has had, in MiB."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    line = next(text for text in status.splitlines() if "VmPeak" in text)
+    return int(line.split()[1]) / 1024
+
+
 class LimitedProcesses:
     """One control host and one gateway, each a process with resource limits."""
 
@@ -110,11 +117,6 @@
                 log = Path(self.folder.name, f"{role}.log").read_text()
                 raise AssertionError(f"{role} ended by itself: {log[-2000:]}")
 
-    def read_peak_mb(self, role):
-        status = Path(f"/proc/{self.processes[role].pid}/status").read_text()
-        line = next(text for text in status.splitlines() if "VmPeak" in text)
-        return int(line.split()[1]) / 1024
-
     async def stop(self):
         """Stop both processes and return their exit codes."""
         await self.session.close()
@@ -150,7 +152,10 @@
         try:
             await self.serve(processes)
             processes.check_running()
-            peaks = {role: processes.read_peak_mb(role) for role in processes.processes}
+            peaks = {
+                role: read_peak_mb(process.pid)
+                for role, process in processes.processes.items()
+            }
         finally:
             codes = await processes.stop()
         self.assertEqual(codes, [0, 0])
--- a/tests/tools/binary_program.py
+++ b/tests/tools/binary_program.py
@@ -9,10 +9,13 @@
 import unittest
 import urllib.error
 import urllib.request
+from contextlib import contextmanager
 from pathlib import Path
 
 from bench._cluster import Cluster
 
+from tests.cli.test_address_space import ADDRESS_SPACE_MB, read_peak_mb
+
 PROGRAM = Path(os.environ["GERANIUMBEND_PROGRAM"])
 
 
@@ -46,10 +49,25 @@
     def test_each_role_runs_as_one_process(self):
         cluster = Cluster(gateways=1, controls=1)
         for process in cluster.controls + cluster.gateways:
-            with self.subTest(process.role):
-                self.check_role(process)
+            with self.subTest(process.role), self.run_role(process) as started:
+                tasks = Path(f"/proc/{started.pid}/task")
+                children = [(task / "children").read_text() for task in tasks.iterdir()]
+                self.assertEqual("".join(children).strip(), "")
+                self.assertEqual(
+                    Path(f"/proc/{started.pid}/exe").resolve().parent.parent,
+                    Path(self.cache.name).resolve(),
+                )
+
+    def test_each_role_reserves_few_addresses(self):
+        """Guards against threads that reserve most of a limit on address space."""
+        cluster = Cluster(gateways=1, controls=1)
+        for process in cluster.controls + cluster.gateways:
+            with self.subTest(process.role), self.run_role(process) as started:
+                self.assertLessEqual(read_peak_mb(started.pid), ADDRESS_SPACE_MB)
 
-    def check_role(self, process):
+    @contextmanager
+    def run_role(self, process):
+        """Run one role until the block ends; yield its process once it listens."""
         path = process.folder / f"{process.name}.toml"
         process.write_settings(path)
         command = [PROGRAM, process.role, str(path)]
@@ -58,13 +76,7 @@
         )
         try:
             self.wait_for_listener(process.settings[process.role])
-            tasks = Path(f"/proc/{started.pid}/task")
-            children = [(task / "children").read_text() for task in tasks.iterdir()]
-            self.assertEqual("".join(children).strip(), "")
-            self.assertEqual(
-                Path(f"/proc/{started.pid}/exe").resolve().parent.parent,
-                Path(self.cache.name).resolve(),
-            )
+            yield started
         finally:
             started.terminate()
             self.assertEqual(started.wait(timeout=20), 0)
