Log background tasks that end by an exception while their owner keeps them

What callers would see: nothing is elected, written or followed any longer, and no line says why. The event loop reports a task's exception only once nothing refers to the task; elections, heartbeats, replication to a peer, compaction, repair of the disk, the joiner and the subscription to the configuration are kept by their owners until the end.

Cause: event 908 covered only tasks that are forgotten.

The logic is the same; whether such a process should go on is open.

Evidence: tests.test_tasks; tests.replication, cli, roles, platform and membership pass.

--- a/src/geraniumbend/_exits.py
+++ b/src/geraniumbend/_exits.py
@@ -134,28 +134,45 @@
         loop.add_signal_handler(number, _end_by_signal, number)
 
 
+def name_task(task: Any) -> str:
+    """Return the name of the coroutine that a task runs."""
+    coroutine = getattr(task, "get_coro", lambda: None)()
+    return getattr(coroutine, "__qualname__", "") or type(task).__name__
+
+
 def _handle_loop_exception(
     loop: asyncio.AbstractEventLoop, context: dict[str, Any]
 ) -> None:
     origin = next(
         (context[key] for key in ("task", "future", "handle") if key in context), None
     )
-    coroutine = getattr(origin, "get_coro", lambda: None)()
-    name = getattr(coroutine, "__qualname__", "") or type(origin).__name__
-    _log_unhandled(name, context.get("exception"), context.get("message", ""))
+    report_exception(
+        name_task(origin), context.get("exception"), context.get("message", "")
+    )
 
 
 def _handle_thread_exception(arguments: threading.ExceptHookArgs) -> None:
     name = "" if arguments.thread is None else arguments.thread.name
-    _log_unhandled(f"thread {name}", arguments.exc_value, "")
+    report_exception(f"thread {name}", arguments.exc_value, "")
 
 
 def _handle_unraisable(unraisable: Any) -> None:
     name = getattr(unraisable.object, "__qualname__", repr(unraisable.object))
-    _log_unhandled(name, unraisable.exc_value, unraisable.err_msg or "")
+    report_exception(name, unraisable.exc_value, unraisable.err_msg or "")
+
 
+def report_exception(origin: str, error: BaseException | None, message: str) -> None:
+    """Log an exception that nothing handles.
 
-def _log_unhandled(origin: str, error: BaseException | None, message: str) -> None:
+    Parameters
+    ----------
+    origin : str
+        Task, thread or callback that raised it.
+    error : BaseException or None
+        The exception, if there is one.
+    message : str
+        What ended, one sentence.
+    """
     if error is not None:
         _print_traceback(error)
     with suppress(MemoryError, RuntimeError):
--- a/src/geraniumbend/configuration/_follower.py
+++ b/src/geraniumbend/configuration/_follower.py
@@ -16,6 +16,7 @@
 )
 from geraniumbend.errors import GeraniumbendError, UnavailableError
 from geraniumbend.logs import declare_event, log_event
+from geraniumbend.tasks import spawn_task
 from geraniumbend.wire import decode, decompress, encode, load_structs
 
 if TYPE_CHECKING:
@@ -132,7 +133,7 @@
 
     def start(self) -> None:
         """Start following."""
-        self._task = asyncio.ensure_future(self._follow())
+        self._task = spawn_task(self._follow())
         self._probe_timer = self._timers.every(
             PROBE_PERIOD_S, self._probe_failed_hosts, 0.5
         )
--- a/src/geraniumbend/membership/_cluster_joiner.py
+++ b/src/geraniumbend/membership/_cluster_joiner.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from geraniumbend.tasks import spawn_task
+
 if TYPE_CHECKING:
     import random
 
@@ -61,7 +63,7 @@
             self.joined = True
             return
         first_round: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._task = asyncio.ensure_future(self._run(seeds, first_round))
+        self._task = spawn_task(self._run(seeds, first_round))
         timeout = asyncio.ensure_future(self._timers.sleep(max_wait_s))
         try:
             await asyncio.wait(
--- a/src/geraniumbend/membership/_departure_log.py
+++ b/src/geraniumbend/membership/_departure_log.py
@@ -12,6 +12,7 @@
 from geraniumbend.errors import StorageError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.membership._records import Record
+from geraniumbend.tasks import spawn_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -99,7 +100,7 @@
         stored = asyncio.get_running_loop().create_future()
         self._waiting.append(_Waiting(record, stored))
         if self._writer is None or self._writer.done():
-            self._writer = asyncio.ensure_future(self._write_waiting())
+            self._writer = spawn_task(self._write_waiting())
         await stored
 
     async def _write_waiting(self) -> None:
--- a/src/geraniumbend/replication/_core.py
+++ b/src/geraniumbend/replication/_core.py
@@ -20,6 +20,7 @@
 from geraniumbend.replication._files import Snapshot, VoteState
 from geraniumbend.replication._members import MemberSet, decode_members
 from geraniumbend.replication._storage import LogStorage
+from geraniumbend.tasks import spawn_task
 
 if TYPE_CHECKING:
     import random
@@ -450,7 +451,7 @@
         ):
             return
         if self._compaction is None or self._compaction.done():
-            self._compaction = asyncio.ensure_future(self._compact())
+            self._compaction = spawn_task(self._compact())
 
     async def _compact(self) -> None:
         if self.failure is not None or self.is_installing:
--- a/src/geraniumbend/replication/_disk_recovery.py
+++ b/src/geraniumbend/replication/_disk_recovery.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from geraniumbend.logs import log_event
+from geraniumbend.tasks import spawn_task
 
 if TYPE_CHECKING:
     from geraniumbend.replication._core import Core
@@ -36,7 +37,7 @@
     def start(self) -> None:
         """Try to repair the files until it succeeds."""
         if self._is_enabled:
-            self._task = asyncio.ensure_future(self._run())
+            self._task = spawn_task(self._run())
 
     async def stop(self) -> None:
         """Try no longer."""
--- a/src/geraniumbend/replication/_handlers.py
+++ b/src/geraniumbend/replication/_handlers.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Any
 
 from geraniumbend.replication._messages import method_name
+from geraniumbend.tasks import spawn_task
 from geraniumbend.wire import decode, encode, load_structs
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Awaitable, Callable
 
     from geraniumbend.adapters.rpc import RpcServer
@@ -81,7 +82,7 @@
         if request.term == core.term and core.can_vote() and not core.is_leader:
             campaign = self._elections.campaign(is_transfer=True)
             self.tasks = [task for task in self.tasks if not task.done()]
-            self.tasks.append(asyncio.ensure_future(campaign))
+            self.tasks.append(spawn_task(campaign))
         return self._status()
 
     def _status(self) -> Any:
--- a/src/geraniumbend/replication/_leader.py
+++ b/src/geraniumbend/replication/_leader.py
@@ -20,6 +20,7 @@
 from geraniumbend.replication._peers import NEVER, Peer
 from geraniumbend.replication._quorum_index import QuorumIndex
 from geraniumbend.replication._waits import CommitWatch
+from geraniumbend.tasks import spawn_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -79,7 +80,7 @@
             first = core.members._replace(cluster_id=cluster_id)
             self._term_start_index = self._append(MEMBERS, encode_members(first))
         self.update_peers()
-        self._heartbeat = asyncio.ensure_future(self._run_heartbeats(core.term))
+        self._heartbeat = spawn_task(self._run_heartbeats(core.term))
 
     async def propose(self, command: bytes) -> bytes:
         """Append a command and return its result once it is committed.
--- a/src/geraniumbend/replication/_membership_changes.py
+++ b/src/geraniumbend/replication/_membership_changes.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from geraniumbend.errors import ConfigurationError, ConflictError, GeraniumbendError
 from geraniumbend.replication._members import Member, MemberSet
+from geraniumbend.tasks import spawn_task
 
 if TYPE_CHECKING:
+    import asyncio
+
     from geraniumbend.replication._core import Core
     from geraniumbend.replication._leader import LeaderRole
 
@@ -157,9 +159,9 @@
             return
         changed = self._plan_next_members()
         if not self._core.is_voter():
-            self._reconciliation = asyncio.ensure_future(self._transfer_and_step_down())
+            self._reconciliation = spawn_task(self._transfer_and_step_down())
         elif changed is not None:
-            self._reconciliation = asyncio.ensure_future(
+            self._reconciliation = spawn_task(
                 self._try_change_members(self._core.members, changed)
             )
 
--- a/src/geraniumbend/replication/_peers.py
+++ b/src/geraniumbend/replication/_peers.py
@@ -11,6 +11,7 @@
 from geraniumbend.replication._files import Snapshot, snapshot_meta
 from geraniumbend.replication._follower import checksum_of
 from geraniumbend.replication._messages import build_request, call_peer, cancel_tasks
+from geraniumbend.tasks import spawn_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -65,7 +66,7 @@
         self._heartbeats: set[asyncio.Task[None]] = set()
         self._in_flight: set[asyncio.Task[None]] = set()
         self._snapshots: set[asyncio.Task[None]] = set()
-        self._task = asyncio.ensure_future(self._replicate())
+        self._task = spawn_task(self._replicate())
 
     def wake(self, is_heartbeat: bool = False) -> None:
         """Make the sending task send new entries, or a heartbeat if `is_heartbeat`."""
--- a/src/geraniumbend/replication/_replica.py
+++ b/src/geraniumbend/replication/_replica.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -21,8 +20,10 @@
 from geraniumbend.replication._startup import Startup
 from geraniumbend.replication._voter import Voter
 from geraniumbend.replication._waits import describe_waits
+from geraniumbend.tasks import spawn_task
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Mapping
     from pathlib import Path
 
@@ -438,7 +439,7 @@
             )
 
     def _spawn(self, coroutine: Any) -> None:
-        self._tasks.append(asyncio.ensure_future(coroutine))
+        self._tasks.append(spawn_task(coroutine))
 
     def _describe(self, member: Any) -> MemberState:
         core = self._core
--- a/src/geraniumbend/replication/_storage.py
+++ b/src/geraniumbend/replication/_storage.py
@@ -30,6 +30,7 @@
     pack_record,
 )
 from geraniumbend.replication._repair import repair_folder
+from geraniumbend.tasks import spawn_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -282,7 +283,7 @@
 
     def _start_writer(self) -> None:
         if self._writer is None or self._writer.done():
-            self._writer = asyncio.ensure_future(self._write_pending())
+            self._writer = spawn_task(self._write_pending())
 
     async def _run(self, task: Callable[[], Any]) -> Any:
         if self._failure is not None:
