Relay a change of a host without a leader to the leader that others know

What callers saw: a change sent to a control host that has not joined the configuration log yet fails, or waits until the host has joined; with syncs of 1 s a host joined up to 16 s after the first leader.

Cause: only members hear from the leader, so that the host had nobody to forward the change to.

The fix: a host that knows no leader also asks the other control hosts for it, beside its own tries. Changes are applied once.

Evidence: test_change_at_a_host_that_has_not_joined_reaches_the_leader fails before and passes now.

--- a/src/geraniumbend/configuration/_leader_relay.py
+++ b/src/geraniumbend/configuration/_leader_relay.py
@@ -5,10 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from geraniumbend.errors import NotLeaderError, UnavailableError
+from geraniumbend.errors import NotLeaderError, StorageError, UnavailableError
+from geraniumbend.replication import LogClient
 from geraniumbend.wire import decode, encode, load_structs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from geraniumbend.adapters.rpc import RpcServer
     from geraniumbend.configuration._store import ConfigurationStore
     from geraniumbend.ports import Log, RpcCaller
@@ -19,6 +22,7 @@
 PROPOSE_TIMEOUT_S = 6.0
 ATTEMPT_PERIOD_S = 2.0
 RETRY_DELAY_S = 0.05
+LOG_NAME = "config"
 
 
 class LeaderRelay:
@@ -34,6 +38,8 @@
         Calls to other control hosts.
     timers : TimerService
         Source of time.
+    list_control_hosts : callable
+        Returns the peer addresses of the live control hosts.
     """
 
     def __init__(
@@ -42,11 +48,13 @@
         store: ConfigurationStore,
         clients: RpcCaller,
         timers: TimerService,
+        list_control_hosts: Callable[[], list[str]],
     ) -> None:
         self._log = log
         self._store = store
         self._clients = clients
         self._timers = timers
+        self._list_control_hosts = list_control_hosts
 
     def register(self, server: RpcServer) -> None:
         """Register the RPC methods that other control hosts call."""
@@ -77,6 +85,7 @@
         """
         deadline = self._timers.now() + PROPOSE_TIMEOUT_S
         attempts: set[asyncio.Task[bytes]] = set()
+        elsewhere: asyncio.Task[bytes] | None = None
         try:
             while True:
                 remaining_s = deadline - self._timers.now()
@@ -86,6 +95,10 @@
                 try:
                     return await self._wait_for_attempts(attempts, wait_s)
                 except UnavailableError as error:
+                    if elsewhere is None and _names_no_leader(error):
+                        search = self._attempt_elsewhere(command, remaining_s)
+                        elsewhere = asyncio.ensure_future(search)
+                        attempts.add(elsewhere)
                     if self._timers.now() + RETRY_DELAY_S > deadline:
                         raise UnavailableError(
                             f"the outcome of the change is unknown: {error.message}",
@@ -170,8 +183,28 @@
                 error.leader, "configuration.propose", command, timeout_s
             )
 
+    async def _attempt_elsewhere(self, command: bytes, timeout_s: float) -> bytes:
+        """Propose a command to the leader that other control hosts know of.
+
+        This host may not have joined the log yet, so that no leader talks to it.
+        """
+        hosts = self._list_control_hosts()
+        if not hosts:
+            raise UnavailableError("no other control host is known")
+        client = LogClient(LOG_NAME, hosts, self._clients, self._timers)
+        try:
+            return await client.call(
+                "configuration.propose", command, timeout_s, is_idempotent=True
+            )
+        except StorageError as error:
+            raise UnavailableError(error.message, error.remedy) from error
+
     async def _send_confirmed(self, body: bytes) -> bytes:
         index = await self._log.read_barrier()
         structs = load_structs("configuration")
         revision = self._store.current.revision
         return encode(structs.ConfirmedRevision(revision=revision, index=index))
+
+
+def _names_no_leader(error: UnavailableError) -> bool:
+    return isinstance(error, NotLeaderError) and not error.leader
--- a/src/geraniumbend/configuration/_service.py
+++ b/src/geraniumbend/configuration/_service.py
@@ -61,6 +61,11 @@
         """Role, ``gateway`` or ``control``."""
         ...
 
+    @property
+    def address(self) -> str:
+        """Peer address as ``ip:port``."""
+        ...
+
     @property
     def revision(self) -> int:
         """Configuration revision that the member uses."""
@@ -144,7 +149,7 @@
         clock: Callable[[], float] = time.time,
     ) -> None:
         self.store = store
-        self._relay = LeaderRelay(log, store, clients, timers)
+        self._relay = LeaderRelay(log, store, clients, timers, self._list_control_hosts)
         self._subscriptions = Subscriptions(self._relay, store, timers)
         self._membership = membership
         self._timers = timers
@@ -421,6 +426,11 @@
                 return missing
             await self._timers.sleep(REVISION_CHECK_PERIOD_S)
 
+    def _list_control_hosts(self) -> list[str]:
+        """Return the peer addresses of the live control hosts."""
+        members = self._membership.members()
+        return [member.address for member in members if member.role == "control"]
+
     def has_majority_contact(self) -> bool:
         """Return whether this host recently held every change a majority accepted."""
         return self._subscriptions.has_majority_contact
--- a/tests/configuration/cluster.py
+++ b/tests/configuration/cluster.py
@@ -13,6 +13,7 @@
     name: str
     role: str
     revision: int
+    address: str = ""
 
 
 class FakeLog:
--- a/tests/configuration/test_service.py
+++ b/tests/configuration/test_service.py
@@ -13,6 +13,7 @@
 from geraniumbend.errors import ConfigurationError, UnavailableError
 from geraniumbend.model import Group, Rule
 from geraniumbend.timers import ManualTimers
+from geraniumbend.wire import encode, load_structs
 from tests.configuration.cluster import FakeCluster, FakeMember
 
 FILE = '[groups.a]\nselector = "app=x"\n'
@@ -108,6 +109,29 @@
         self.assertEqual((await self.run_to_end(change)).revision, 1)
         self.assertLess(self.timers.now() - started_at, 3.5)
 
+    async def test_change_at_a_host_that_has_not_joined_reaches_the_leader(self):
+        """Guards against changes that fail at a host that no leader talks to."""
+        self.cluster.partitioned = {"c"}
+        self.cluster.members_list = [
+            FakeMember(name, "control", 0, name) for name in ("c", "b", "a")
+        ]
+        for name in ("a", "b", "c"):
+            self.serve_status(name, "" if name == "c" else "a")
+        steps = [SetGroup(Group("a", "app=x"))]
+        change = self.cluster.services["c"].apply(steps, 0, new_id(), "eva")
+        self.assertEqual((await self.run_to_end(change)).revision, 1)
+
+    def serve_status(self, name, leader):
+        """Let a host answer which leader it knows."""
+        status = load_structs("replication").StatusResponse(
+            node=name, term=1, leader_address=leader, is_leader=name == leader
+        )
+
+        async def answer(body):
+            return encode(status)
+
+        self.cluster.handlers[name]["replication.config.status"] = answer
+
     async def test_repeated_bootstrap_appends_one_command_while_its_commit_waits(self):
         """Guards against a log that fills up while a sync keeps the first command."""
         self.cluster.commit_delay_s = 1.0
