--- a/tests/replication/test_slow_disks.py
+++ b/tests/replication/test_slow_disks.py
@@ -231,6 +231,22 @@
             **fields,
         )
 
+    async def test_heartbeat_during_an_installation_keeps_votes_back(self):
+        """Guards against a vote within a lease that the voter has just confirmed."""
+        cluster = await self.open_slow(0.0)
+        follower = await self.isolate_follower(cluster)
+        follower._core.is_installing = True
+        request = self.heartbeat(cluster, follower.node, 9)
+        await self.call(
+            cluster, follower.node, "append", request, STRUCTS.AppendResponse
+        )
+        follower._core.is_installing = False
+        vote = self.vote_request(cluster, follower.node, 10, "n8")
+        response = await self.call(
+            cluster, follower.node, "vote", vote, STRUCTS.VoteResponse
+        )
+        self.assertFalse(response.granted)
+
     async def test_first_changes_do_not_wait_for_the_write_of_the_cluster_id(self):
         """Guards against a change that queues behind a write that nobody waits for."""
         cluster = self.create(1.0)
