--- a/bench/_real_machine.py
+++ b/bench/_real_machine.py
@@ -14,6 +14,7 @@
 from bench._real_checks import Observations
 from bench._real_cluster import RECOVERY_S, RealCluster, Size
 from bench._real_faults import endings, faults, formation_faults
+from geraniumbend.errors import SettingsError
 
 if TYPE_CHECKING:
     from bench._real_faults import Fault
@@ -190,6 +191,22 @@
     return base._replace(gateways=gateways)
 
 
+def require_known(names: tuple[str, ...]) -> None:
+    """Check names of faults.
+
+    Raises
+    ------
+    SettingsError
+        If a name is that of no fault.
+    """
+    known = [*formation_faults.names(), *faults.names(), *endings.names()]
+    unknown = sorted(set(names) - set(known))
+    if unknown:
+        raise SettingsError(
+            f"unknown faults {', '.join(unknown)}", f"choose from {', '.join(known)}"
+        )
+
+
 @experiments.register("real_machine")
 async def run_real_machine(options: Options) -> dict[str, Any]:
     """Run a cluster under faults of real machines and check it from outside.
@@ -208,7 +225,10 @@
     ------
     ExperimentError
         If a check failed; names the seed and the folder with the logs.
+    SettingsError
+        If the options name an unknown fault.
     """
+    require_known(options.faults)
     machine = RealMachine(options)
     await machine.run()
     violations = machine.observations.invariants.violations
--- a/tests/bench/test_real_machine.py
+++ b/tests/bench/test_real_machine.py
@@ -16,6 +16,8 @@
 from bench._real_machine import FULL_SIZE, choose_size, run_real_machine
 from bench._real_process import CATCH_UP_S, HostProcess
 
+from geraniumbend.errors import SettingsError
+
 SEED = 1
 SCALE = 0.15
 # One fault of the start, a kill of all processes, and a loss of disks at the end.
@@ -31,6 +33,10 @@
         self.assertGreater(result["statuses"].get("200 unsafe", 0), 50)
         self.assertGreater(result["changes"], 3)
 
+    async def test_unknown_name_of_a_fault_is_refused(self):
+        with self.assertRaisesRegex(SettingsError, "unknown faults kil; choose from"):
+            await run_real_machine(Options(SEED, SCALE, ("kil",)))
+
 
 class SizeTest(unittest.TestCase):
     def test_full_scale_is_the_size_of_the_users(self):
