--- a/bench/_real_cluster.py
+++ b/bench/_real_cluster.py
@@ -81,6 +81,8 @@
         Control hosts that the settings name as seeds.
     core_disturbed_at_s : float
         Monotonic time at which a fault of a control host last began or ended, in s.
+    stable_window_s : float
+        Time in seconds from then on until the core is stable.
     """
 
     def __init__(self, size: Size, seed: int, observations: Observations) -> None:
@@ -89,6 +91,7 @@
         self.observations = observations
         self.folder = Path(tempfile.mkdtemp(prefix="geraniumbend-real-"))
         self.core_disturbed_at_s = self._listening_at_s = float("-inf")
+        self.stable_window_s = STABLE_WINDOW_S
         self.is_forming = True
         self.ready: set[str] = set()
         self._network = _choose_network()
@@ -162,11 +165,11 @@
 
     def is_in_touch(self, host: HostProcess) -> bool:
         """Return whether a gateway and the core were calm for the stable window."""
-        start_s = time.monotonic() - STABLE_WINDOW_S
+        now_s = time.monotonic()
         return (
             not host.active_faults
-            and host.disturbed_at_s < start_s
-            and self.is_core_stable(start_s)
+            and host.disturbed_at_s < now_s - STABLE_WINDOW_S
+            and self.is_core_stable(now_s - self.stable_window_s)
         )
 
     def is_core_stable(self, since_s: float) -> bool:
@@ -184,7 +187,8 @@
         """
         if any(h.active_faults or h.listening_pid != h.pid for h in self.controls):
             return float("inf")
-        return max(self.core_disturbed_at_s + STABLE_WINDOW_S, self._listening_at_s)
+        stable_at_s = self.core_disturbed_at_s + self.stable_window_s
+        return max(stable_at_s, self._listening_at_s)
 
     async def wait_listening(self, hosts: list[HostProcess], listener: str) -> None:
         """Wait until hosts accept connections at a listener."""
--- a/tests/bench/test_real_machine.py
+++ b/tests/bench/test_real_machine.py
@@ -235,6 +235,19 @@
         self.cluster.controls[0].listening_pid = 1
         self.assertEqual(self.cluster.get_calm_since(), float("inf"))
 
+    def test_gateway_is_in_touch_once_it_and_the_core_were_stable(self):
+        gateway = self.cluster.gateways[0]
+        with self.cluster.disturb([self.cluster.controls[0]]):
+            self.assertFalse(self.cluster.is_in_touch(gateway))
+        self.clock.return_value += STABLE_WINDOW_S + 0.1
+        self.assertTrue(self.cluster.is_in_touch(gateway))
+        self.cluster.stable_window_s = 2 * STABLE_WINDOW_S
+        self.assertFalse(self.cluster.is_in_touch(gateway))
+        self.clock.return_value += STABLE_WINDOW_S
+        self.assertTrue(self.cluster.is_in_touch(gateway))
+        with self.cluster.disturb([gateway]):
+            self.assertFalse(self.cluster.is_in_touch(gateway))
+
     def test_hosts_with_slow_disks_count_as_lost(self):
         slow = self.cluster.controls[3:]
         for host in slow:
