Count the time to be ready from the last control host that listens

A host is reported if it is not ready both 15 s after the last fault and that long after the last listener; a host that never listens is reported after 15 s as before.

--- a/tests/bench/test_real_machine.py
+++ b/tests/bench/test_real_machine.py
@@ -11,7 +11,7 @@
 from bench._experiments import Options
 from bench._real_callers import KEPT_CHANGES, Callers, build_change
 from bench._real_checks import Observations
-from bench._real_cluster import STABLE_WINDOW_S, RealCluster, Size
+from bench._real_cluster import RECOVERY_S, STABLE_WINDOW_S, START_S, RealCluster, Size
 from bench._real_faults import endings, faults, formation_faults
 from bench._real_machine import FULL_SIZE, choose_size, run_real_machine
 from bench._real_process import CATCH_UP_S, HostProcess
@@ -248,6 +248,11 @@
         with self.cluster.disturb([gateway]):
             self.assertFalse(self.cluster.is_in_touch(gateway))
 
+    def test_hosts_may_be_ready_later_if_control_hosts_listen_late(self):
+        self.assertEqual(self.cluster.get_ready_by(90.0), 90.0 + RECOVERY_S)
+        self.cluster._listening_at_s = 104.0
+        self.assertEqual(self.cluster.get_ready_by(90.0), 104.0 + START_S)
+
     def test_hosts_with_slow_disks_count_as_lost(self):
         slow = self.cluster.controls[3:]
         for host in slow:
