--- a/tests/bench/test_real_machine.py
+++ b/tests/bench/test_real_machine.py
@@ -11,11 +11,13 @@
 from bench._experiments import Options
 from bench._real_callers import KEPT_CHANGES, Callers, build_change
 from bench._real_checks import Observations
-from bench._real_cluster import STABLE_WINDOW_S, RealCluster, Size
+from bench._real_cluster import RECOVERY_S, STABLE_WINDOW_S, START_S, RealCluster, Size
 from bench._real_faults import endings, faults, formation_faults
 from bench._real_machine import FULL_SIZE, choose_size, run_real_machine
 from bench._real_process import CATCH_UP_S, HostProcess
 
+from geraniumbend.errors import SettingsError
+
 SEED = 1
 SCALE = 0.15
 # One fault of the start, a kill of all processes, and a loss of disks at the end.
@@ -31,6 +33,10 @@
         self.assertGreater(result["statuses"].get("200 unsafe", 0), 50)
         self.assertGreater(result["changes"], 3)
 
+    async def test_unknown_name_of_a_fault_is_refused(self):
+        with self.assertRaisesRegex(SettingsError, "unknown faults kil; choose from"):
+            await run_real_machine(Options(SEED, SCALE, ("kil",)))
+
 
 class SizeTest(unittest.TestCase):
     def test_full_scale_is_the_size_of_the_users(self):
@@ -229,6 +235,24 @@
         self.cluster.controls[0].listening_pid = 1
         self.assertEqual(self.cluster.get_calm_since(), float("inf"))
 
+    def test_gateway_is_in_touch_once_it_and_the_core_were_stable(self):
+        gateway = self.cluster.gateways[0]
+        with self.cluster.disturb([self.cluster.controls[0]]):
+            self.assertFalse(self.cluster.is_in_touch(gateway))
+        self.clock.return_value += STABLE_WINDOW_S + 0.1
+        self.assertTrue(self.cluster.is_in_touch(gateway))
+        self.cluster.stable_window_s = 2 * STABLE_WINDOW_S
+        self.assertFalse(self.cluster.is_in_touch(gateway))
+        self.clock.return_value += STABLE_WINDOW_S
+        self.assertTrue(self.cluster.is_in_touch(gateway))
+        with self.cluster.disturb([gateway]):
+            self.assertFalse(self.cluster.is_in_touch(gateway))
+
+    def test_hosts_may_be_ready_later_if_control_hosts_listen_late(self):
+        self.assertEqual(self.cluster.get_ready_by(90.0), 90.0 + RECOVERY_S)
+        self.cluster._listening_at_s = 104.0
+        self.assertEqual(self.cluster.get_ready_by(90.0), 104.0 + START_S)
+
     def test_hosts_with_slow_disks_count_as_lost(self):
         slow = self.cluster.controls[3:]
         for host in slow:
