Let first voters form the log without waiting for each other at a first start

Callers saw processes that never became ready and no acknowledged change, for good, when one of three founders was killed, frozen or lost while the system started for the first time: no host formed a log any more, or one had and the others had not.

Cause: a founder formed the log only in a round in which all founders answered that they are empty, since an empty disk may be one that has lost its log. One that was gone kept the others waiting; one that was restarted with settings that no longer allow it to found never formed, and two such leave no majority.

Change: the setting control.is_first_start says that no disk of the system has held a log before; the platform's field bootstrap has that meaning. A founder that creates its folder then has never voted, so it forms at once, under incarnation 0, and the vote file keeps that over restarts. A majority of the founders elects a leader; a late one is an ordinary follower. A damaged or emptied folder still gets an incarnation of its own, and without the setting founders ask each other as before. Old and new builds understand each other: only what a disk holds at its creation differs.

--- a/bench/_control_hosts.py
+++ b/bench/_control_hosts.py
@@ -49,10 +49,20 @@
     ----------
     cut : set of tuple of (str, str)
         Directed links that deliver nothing.
+    late_s : dict of (str, str) to float
+        Time in seconds that messages of a directed link take longer.
+    running : dict of str to asyncio.Event
+        Per host, whether its process runs; a paused one neither takes nor sends
+        messages.
+    handled : set of (str, str)
+        Pairs of a host and the last part of a method that it has handled.
     """
 
     def __init__(self) -> None:
         self.cut: set[tuple[str, str]] = set()
+        self.late_s: dict[tuple[str, str], float] = {}
+        self.running: dict[str, asyncio.Event] = {}
+        self.handled: set[tuple[str, str]] = set()
         self.servers: dict[str, Server] = {}
         self._running: dict[str, dict[asyncio.Task[None], None]] = {}
 
@@ -91,14 +101,15 @@
         future: asyncio.Future[bytes],
     ) -> None:
         try:
-            await asyncio.sleep(LINK_DELAY_S)
+            await self._cross_link(source, target)
             if (source, target) in self.cut:
                 return
             server = self.servers.get(target)
             if server is None or method not in server.handlers:
                 raise UnavailableError(f"{target} is down")
             response = await server.handlers[method](body)
-            await asyncio.sleep(LINK_DELAY_S)
+            self.handled.add((target, method.rpartition(".")[2]))
+            await self._cross_link(target, source)
             if (target, source) in self.cut:
                 return
         except asyncio.CancelledError:
@@ -110,6 +121,12 @@
         if not future.done():
             future.set_result(response)
 
+    async def _cross_link(self, sender: str, receiver: str) -> None:
+        await asyncio.sleep(LINK_DELAY_S + self.late_s.get((sender, receiver), 0.0))
+        for name in (sender, receiver):
+            if name in self.running:
+                await self.running[name].wait()
+
 
 class Clients:
     """RPC client of one simulated host."""
@@ -158,6 +175,9 @@
         Disk of each host that was not removed for good.
     hosts : dict of str to Host
         Running processes.
+    founders_ask : bool
+        Whether the founders ask each other for their logs before they form one, as
+        they do where no setting tells them that this is the first start.
     """
 
     def __init__(
@@ -171,6 +191,7 @@
         self.hosts: dict[str, Host] = {}
         self.version = 0
         self.acknowledged = 0
+        self.founders_ask = False
         self._sync_s = sync_s
 
     async def start(self, name: str, is_first: bool = False) -> None:
@@ -185,10 +206,12 @@
         """
         disk = self.disks.setdefault(name, LossDisk(self._sync_s))
         timers = VirtualTimers()
+        self.network.running[name] = timers.running
         clients = Clients(self.network, name)
         settings = ControlSettings(
             tolerated_losses=self.tolerated,
             may_found=is_first,
+            is_first_start=is_first and not self.founders_ask,
             founders=self.founders,
         )
         store = ConfigurationStore()
@@ -223,6 +246,14 @@
         reconciler.start()
         self.hosts[name] = Host(replica, service, reconciler)
 
+    def pause(self, name: str) -> None:
+        """Freeze the process of a host; its timers and messages wait."""
+        self.network.running[name].clear()
+
+    def resume(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.network.running[name].set()
+
     async def end(self, name: str, loses_power: bool = True) -> None:
         """End a process without warning."""
         host = self.hosts.pop(name)
--- a/src/geraniumbend/_settings.py
+++ b/src/geraniumbend/_settings.py
@@ -216,6 +216,14 @@
     may_found: Annotated[
         bool, Meta(description="Whether a new cluster may be bootstrapped.")
     ] = True
+    is_first_start: Annotated[
+        bool,
+        Meta(
+            description="Whether the whole system starts for the first time. The first "
+            "voters then take part without asking each other; set it only while no "
+            "disk has held a log."
+        ),
+    ] = False
     tolerated_losses: Annotated[
         int, Meta(ge=0, le=15, description="Disks lost at once without loss of data.")
     ] = 0
--- a/src/geraniumbend/platform/_settings.py
+++ b/src/geraniumbend/platform/_settings.py
@@ -184,6 +184,7 @@
         metrics=ListenSettings(given.ip, given.internal_ports[1]),
         founders=seeds,
         may_found=given.bootstrap,
+        is_first_start=given.bootstrap,
         tolerated_losses=given.fault_tolerance.machines,
         order_shards=0,
     )
--- a/src/geraniumbend/replication/_events.py
+++ b/src/geraniumbend/replication/_events.py
@@ -25,7 +25,7 @@
 declare_event(
     507, "snapshot_installed", "info", "A snapshot of the leader replaced the log."
 )
-declare_event(508, "log_formed", "info", "All first voters are empty; the log starts.")
+declare_event(508, "log_formed", "info", "The first voters form the log.")
 declare_event(
     509,
     "votes_missing",
--- a/src/geraniumbend/replication/_replica.py
+++ b/src/geraniumbend/replication/_replica.py
@@ -131,7 +131,9 @@
         self._elections = Elections(self._core, self._leading.start)
         self._following = FollowerRole(self._core)
         self._core.min_durable_copies = settings.tolerated_losses + 1
-        self._startup = Startup(self._core, voters, settings.may_found)
+        self._startup = Startup(
+            self._core, voters, settings.may_found, settings.is_first_start
+        )
         self._changes = MembershipChanges(self._core, self._leading)
         self._handlers = Handlers(
             self._core,
--- a/src/geraniumbend/replication/_startup.py
+++ b/src/geraniumbend/replication/_startup.py
@@ -28,14 +28,22 @@
     may_bootstrap : bool, default=True
         Whether a new log may be bootstrapped; otherwise an empty replica waits until
         it is added to an existing one.
+    is_first_start : bool, default=False
+        Whether no disk of the system has held a log before. An empty first voter has
+        then never voted, so it takes part at once.
     """
 
     def __init__(
-        self, core: Core, voters: Mapping[str, str], may_bootstrap: bool = True
+        self,
+        core: Core,
+        voters: Mapping[str, str],
+        may_bootstrap: bool = True,
+        is_first_start: bool = False,
     ) -> None:
         self._core = core
         self._voters = dict(voters)
         self._may_bootstrap = may_bootstrap
+        self._is_first_start = is_first_start
 
     async def load(self) -> StoredState:
         """Read the files of the replica and create them in an empty folder.
@@ -62,20 +70,24 @@
             await core.storage.move_to_damaged()
             stored = StoredState(None, None, [], True)
         if stored.vote_state is None:
-            bootstraps_alone = (
-                set(self._voters) == {core.node}
-                and not stored.is_lost
-                and self._may_bootstrap
-            )
+            forms = not stored.is_lost and self._may_form_unasked()
             vote_state = VoteState(
-                incarnation=0 if bootstraps_alone else core.rng.getrandbits(62) | 1,
-                formed=bootstraps_alone,
+                incarnation=0 if forms else core.rng.getrandbits(62) | 1,
+                formed=forms,
                 lost=stored.is_lost,
             )
             await core.storage.create(vote_state)
+            if forms:
+                log_event(508, shard=core.shard, voters=sorted(self._voters))
             stored = stored._replace(vote_state=vote_state)
         return stored
 
+    def _may_form_unasked(self) -> bool:
+        """Return whether no other voter can know of a log that this one has lost."""
+        node = self._core.node
+        is_alone = set(self._voters) == {node} and self._may_bootstrap
+        return is_alone or (self._is_first_start and node in self._voters)
+
     async def bootstrap(self) -> None:
         """Bootstrap the log once all first voters report that they are empty."""
         # Voters bootstrap the log only if all are empty at the same time. A voter that
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -45,6 +45,7 @@
         self.assertEqual(control.founders, settings.peer.seeds)
         self.assertEqual((control.operators.host, control.operators.port)[1], 8544)
         self.assertTrue(control.may_found)
+        self.assertTrue(control.is_first_start)
         self.assertEqual(control.tolerated_losses, 2)
         self.assertEqual(control.data_folder, "/data/core")
 
@@ -60,6 +61,7 @@
         self.assertLessEqual(gateway.retry_allowance, 56)
         self.assertLessEqual(gateway.probe_limit, 60)
         self.assertFalse(settings.control.may_found)
+        self.assertFalse(settings.control.is_first_start)
 
     def test_open_requests_may_take_until_the_last_sixth_of_the_grace_period(self):
         """Guards against a planned stop that cuts off requests which may still end."""
--- a/tests/replication/test_founding.py
+++ b/tests/replication/test_founding.py
@@ -144,6 +144,70 @@
         await cluster.finish(proposing)
 
 
+class FirstStartTest(ReplicationTestCase):
+    """Founders whose settings tell them that the whole system starts first."""
+
+    settings = ControlSettings(tolerated_losses=2, is_first_start=True)
+
+    async def start(self, *names):
+        asyncio.get_running_loop().set_debug(False)
+        cluster = Cluster(3, settings=self.settings, latency_s=0.005)
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start(*names)
+        return cluster
+
+    # Two founders waited for ever for one that was gone before all had met.
+    async def test_founder_that_never_starts_does_not_keep_the_others_from_forming(
+        self,
+    ):
+        for absent in ("n1", "n2", "n3"):
+            names = [name for name in ("n1", "n2", "n3") if name != absent]
+            with self.subTest(absent=absent):
+                cluster = await self.start(*names)
+                leader = await cluster.leader()
+                await cluster.start("n4")
+                await cluster.finish(leader.add_member("n4", "n4"))
+                await cluster.propose("one")
+                self.assertEqual(await cluster.converge(), ["one"])
+
+    async def test_founder_that_starts_late_votes_without_a_change_of_members(self):
+        cluster = await self.start("n1", "n2")
+        leader = await cluster.leader()
+        await cluster.run(5.0)
+        await cluster.start("n3")
+        await cluster.propose("one")
+        self.assertEqual(await cluster.converge(), ["one"])
+        self.assertTrue(all(m.role == "voter" for m in leader.members()))
+        self.assertEqual(cluster.replicas["n3"]._core.vote_state.incarnation, 0)
+
+    # An emptied founder would vote again in a term in which it has voted.
+    async def test_emptied_founder_forms_no_log_after_the_first_start(self):
+        cluster = await self.start()
+        await cluster.propose("one")
+        for name in cluster.nodes:
+            await cluster.kill(name)
+        cluster.settings = ControlSettings(tolerated_losses=2, may_found=False)
+        cluster.disks["n1"] = MemoryDisk()
+        await cluster.start("n1")
+        await cluster.run(3.0)
+        vote_state = cluster.replicas["n1"]._core.vote_state
+        self.assertFalse(vote_state.formed)
+        self.assertNotEqual(vote_state.incarnation, 0)
+        await cluster.start("n2", "n3")
+        self.assertEqual(await cluster.converge(), ["one"])
+
+    # A damaged log is a lost one, whatever the settings say of the start.
+    async def test_damaged_founder_does_not_count_as_new(self):
+        cluster = await self.start()
+        await cluster.propose("one")
+        await cluster.kill("n1")
+        disk = cluster.disks["n1"]
+        del disk.names["data/config/vote"]
+        await cluster.start("n1")
+        self.assertNotEqual(cluster.replicas["n1"]._core.vote_state.incarnation, 0)
+        self.assertEqual(await cluster.converge(), ["one"])
+
+
 class VoteFileTest(unittest.TestCase):
     def test_file_of_a_release_without_the_cluster_id_is_read(self):
         structs = load_structs("replication")
