Promote a successor before a dead voter is removed

Callers could read nothing back for good after one of three voters was cut off, and another lost its disk a moment later, with one tolerated loss and a host on standby (final_losses: fill_leader, add_host, behind (2, 1), three hosts; acknowledged 4, nothing read in 15 s).

Cause, from the trace: h3 is cut off; 1 s later the leader h1 appends the list {h1, h2} without h3, to make room for n3 on standby. h2 loses its disk before it holds the list. h1 may be elected by h2 only, which has another incarnation; h3 still asks h1, whose log is longer, and h2. Whether the list was committed makes no difference: h3's disk, which nobody had lost, no longer counted.

Change: the standby becomes a voter first; the dead voter is removed as soon as its successor votes, which the leader remembers, or after 1 s if a log has more voters than its target and a host on standby.

Remains: a leader that ends between the two steps leaves the dead voter for 5 s to its successor.

--- a/src/geraniumbend/roles/_member_reconciler.py
+++ b/src/geraniumbend/roles/_member_reconciler.py
@@ -22,7 +22,7 @@
 # A member that has not been live for this time, in seconds, may be removed. If it comes
 # back later it joins again, so a false suspicion costs one transfer of the log.
 REPLACE_AFTER_S = 5.0
-# The same for a voter while a learner on standby can take its place at once.
+# The same for a voter that has a successor, or a learner on standby that can be one.
 REPLACE_BY_STANDBY_AFTER_S = 1.0
 # A member that hears no leader for this time, in seconds, asks to join: the others may
 # have removed it while it was frozen or cut off, and no longer replicate to it.
@@ -49,10 +49,10 @@
 
     A host that is not a member of a log asks the log's leader to add it as a learner on
     standby. So does a member that hears no leader, since it may have been removed; a
-    member that was not stays what it is. A leader promotes one while there are fewer
-    than `target_voters`. It removes dead learners, and dead voters that a learner on
-    standby can replace at once: a voter that is gone for good must not count beside its
-    successor, because more voters need a larger majority.
+    member that was not stays what it is. A leader promotes one while fewer than
+    `target_voters` are live. It removes dead learners, and a dead voter as soon as its
+    successor votes. The successor comes first: a voter that is only cut off still holds
+    its disk, and without it the loss of one disk could leave no majority.
 
     Parameters
     ----------
@@ -63,8 +63,8 @@
     list_control_hosts : callable
         Returns the peer addresses of the live control hosts.
     target_voters : int
-        Number of voters that a log keeps. Dead voters are removed only while a learner
-        on standby can replace them, or while a log has more voters than this.
+        Number of voters that a log keeps. Dead voters are removed only while a log has
+        more voters than this.
     clients : RpcCaller
         Client for RPCs to other control hosts.
     timers : TimerService
@@ -88,6 +88,8 @@
         self._timers = timers
         self._asked_at = -LEADERLESS_S
         self._last_live_at: dict[tuple[str, str], float] = {}
+        # Dead voters for which this leader has promoted a successor.
+        self._replaced: set[tuple[str, str]] = set()
         self._reconcile_timer: Subscription | None = None
         self._next_host = 0
 
@@ -161,40 +163,63 @@
 
     async def _reconcile_members(self, replica: Replica) -> None:
         members = replica.members()
-        now = self._timers.now()
-        for member in members:
-            key = (replica.shard, member.name)
-            if member.is_live or key not in self._last_live_at:
-                self._last_live_at[key] = now
-        silent_s = {
-            member.name: now - self._last_live_at[(replica.shard, member.name)]
-            for member in members
-        }
+        silent_s = self._measure_silence(replica.shard, members)
         standby = _find_standby(members, replica.commit_index)
-        removed = self._find_removable(members, silent_s, standby is not None)
+        removed = self._find_removable(
+            replica.shard, members, silent_s, standby is not None
+        )
         try:
             if removed is not None:
                 await replica.remove_member(removed)
                 log_event(912, shard=replica.shard, member=removed)
-            elif standby is not None and _count_voters(members) < self._target_voters:
+            elif standby is not None and self._needs_voter(members, silent_s):
                 await replica.promote_member(standby)
+                self._replaced.update(
+                    (replica.shard, member.name)
+                    for member in members
+                    if _is_dead(member, silent_s)
+                )
                 log_event(913, shard=replica.shard, member=standby)
         except GeraniumbendError:
             # The removal risks the majority, another change is in progress, or the
             # leader has changed. The next reconciliation tries again.
             return
 
+    def _measure_silence(
+        self, shard: str, members: list[MemberState]
+    ) -> dict[str, float]:
+        """Return for how long each member has not been live, in seconds."""
+        now = self._timers.now()
+        for member in members:
+            key = (shard, member.name)
+            if member.is_live or key not in self._last_live_at:
+                self._last_live_at[key] = now
+                self._replaced.discard(key)
+        return {m.name: now - self._last_live_at[(shard, m.name)] for m in members}
+
+    def _needs_voter(
+        self, members: list[MemberState], silent_s: dict[str, float]
+    ) -> bool:
+        voting = [member for member in members if _is_voting(member)]
+        dead = sum(_is_dead(member, silent_s) for member in voting)
+        return len(voting) - dead < self._target_voters
+
     def _find_removable(
-        self, members: list[MemberState], silent_s: dict[str, float], has_standby: bool
+        self,
+        shard: str,
+        members: list[MemberState],
+        silent_s: dict[str, float],
+        has_standby: bool,
     ) -> str | None:
-        surplus = _count_voters(members) > self._target_voters
+        voters = sum(member.role == "voter" for member in members)
         for member in members:
-            if _is_voting(member) and has_standby:
-                limit_s = REPLACE_BY_STANDBY_AFTER_S
-            elif member.role == "learner" or surplus:
-                limit_s = REPLACE_AFTER_S
+            if member.role == "voter":
+                if voters <= self._target_voters:
+                    continue
+                is_replaced = has_standby or (shard, member.name) in self._replaced
             else:
-                continue
+                is_replaced = member.becomes_voter and has_standby
+            limit_s = REPLACE_BY_STANDBY_AFTER_S if is_replaced else REPLACE_AFTER_S
             if silent_s[member.name] > limit_s:
                 return member.name
         return None
@@ -205,8 +230,9 @@
     return member.role == "voter" or member.becomes_voter
 
 
-def _count_voters(members: list[MemberState]) -> int:
-    return sum(map(_is_voting, members))
+def _is_dead(member: MemberState, silent_s: dict[str, float]) -> bool:
+    """Return whether a voter has been silent for so long that a learner replaces it."""
+    return _is_voting(member) and silent_s[member.name] > REPLACE_BY_STANDBY_AFTER_S
 
 
 def _find_standby(members: list[MemberState], commit_index: int) -> str | None:
--- a/tests/replication/test_final_losses.py
+++ b/tests/replication/test_final_losses.py
@@ -47,6 +47,17 @@
         for name in ("replace_leader", "replace_follower"):
             self.check((name,), [Ending("kept", (0, 1)), Ending("power", (2, 3))])
 
+    # A voter that was cut off was removed before its successor voted; the disk that was
+    # lost then was one of the two that the list asked for, and no host could lead.
+    def test_voter_that_is_cut_off_still_counts_when_a_disk_is_lost(self):
+        endings = tuple(Ending("behind", lost) for lost in ((0, 1), (0, 2), (2, 1)))
+        for seed in (2, 3, 7, 2817588614):
+            for names in (("add_host",), ("fill_leader", "add_host")):
+                for outcome in play(Schedule(3, 1, names, endings, seed, SYNC_S)):
+                    with self.subTest(seed=seed, steps=names, ending=outcome.ending):
+                        self.assertIsNotNone(outcome.read)
+                        self.assertGreaterEqual(outcome.read, outcome.acknowledged)
+
     # On slow disks replicas waited less for a vote than its write took, so that no
     # election succeeded for 10 s after a loss of power.
     def test_reads_are_answered_soon_on_slow_disks(self):
