Open the null device for standard streams that are closed

Callers saw nothing yet: found before the landing by starting all processes with closed standard streams, which bears. The fatal-signal handler also raised where standard error is closed.

The null device takes the numbers at the start of the process, and the handler is left out where there is no standard error.

--- a/src/geraniumbend/_exits.py
+++ b/src/geraniumbend/_exits.py
@@ -127,8 +127,8 @@
     loop.set_exception_handler(_handle_loop_exception)
     threading.excepthook = _handle_thread_exception
     sys.unraisablehook = _handle_unraisable
-    # Standard error has no descriptor where tests replace it.
-    with suppress(OSError, ValueError):
+    # Standard error may be closed, or have no descriptor where tests replace it.
+    with suppress(OSError, RuntimeError, ValueError):
         faulthandler.enable()
     for number in ENDING_SIGNALS:
         loop.add_signal_handler(number, _end_by_signal, number)
--- a/src/geraniumbend/run.py
+++ b/src/geraniumbend/run.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from geraniumbend import timers  # noqa: F401  (records the start time)
+from geraniumbend._descriptors import open_standard_descriptors
 from geraniumbend.exits import report_end
 from geraniumbend.logs import close_logs
 from geraniumbend.memory import limit_address_space
@@ -53,6 +54,7 @@
     # shutdown, and SIGHUP is ignored because the settings have not been read yet.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(0))
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    open_standard_descriptors()
     limit_address_space()
     # Collections take a fifth of the time that the imports need, and find nothing.
     gc.disable()
--- a/tests/cli/test_address_space.py
+++ b/tests/cli/test_address_space.py
@@ -105,6 +105,28 @@
         fields = {"Host": "h.example", "Geraniumbend-Deadline-Ms": "2000"}
         return await self.call("GET", url, **fields)
 
+    async def serve(self, changes, requests):
+        """Start both roles; make changes and send requests."""
+        self.start("control")
+        self.start("gateway")
+        for number in range(changes):
+            document = build_document(ROUTES, f"r{number + 1}")
+            await self.wait_until(
+                lambda body=document: self.call_control("/-/config/put", body)
+            )
+        async with ScriptedBackend(respond_as(b"i-1")) as backend:
+            heartbeat = {
+                "address": f"127.0.0.1:{backend.port}",
+                "info": {"service": "one", "version": "v", "zone": "a", "capacity": 4},
+                "status": {"state": "ready", "sequence": 1},
+                "born": 7,
+            }
+            path = "/-/instances/i-1/heartbeat"
+            await self.wait_until(lambda: self.call_control(path, heartbeat))
+            await self.wait_until(self.send_request)
+            for _ in range(requests):
+                await self.send_request()
+
     async def wait_until(self, send, timeout_s=READY_TIMEOUT_S):
         async with asyncio.timeout(timeout_s):
             while await send() != 200:
@@ -150,7 +172,7 @@
         """Let both roles serve and stop; return their peak address space by role."""
         processes = LimitedProcesses(limits)
         try:
-            await self.serve(processes)
+            await processes.serve(CHANGES, REQUESTS)
             processes.check_running()
             peaks = {
                 role: read_peak_mb(process.pid)
@@ -160,25 +182,3 @@
             codes = await processes.stop()
         self.assertEqual(codes, [0, 0])
         return peaks
-
-    async def serve(self, processes):
-        """Start both roles; make changes and send requests."""
-        processes.start("control")
-        processes.start("gateway")
-        for number in range(CHANGES):
-            document = build_document(ROUTES, f"r{number + 1}")
-            await processes.wait_until(
-                lambda body=document: processes.call_control("/-/config/put", body)
-            )
-        async with ScriptedBackend(respond_as(b"i-1")) as backend:
-            heartbeat = {
-                "address": f"127.0.0.1:{backend.port}",
-                "info": {"service": "one", "version": "v", "zone": "a", "capacity": 4},
-                "status": {"state": "ready", "sequence": 1},
-                "born": 7,
-            }
-            path = "/-/instances/i-1/heartbeat"
-            await processes.wait_until(lambda: processes.call_control(path, heartbeat))
-            await processes.wait_until(processes.send_request)
-            for _ in range(REQUESTS):
-                await processes.send_request()
