--- a/src/geraniumbend/replication/_peers.py
+++ b/src/geraniumbend/replication/_peers.py
@@ -63,9 +63,12 @@
         self._is_paused = False
         self._heartbeat_due = True
         self._wake = asyncio.Event()
-        self._heartbeats: set[asyncio.Task[None]] = set()
-        self._in_flight: set[asyncio.Task[None]] = set()
-        self._snapshots: set[asyncio.Task[None]] = set()
+        # Calls by kind, with the times at which they began.
+        self._heartbeats: dict[asyncio.Task[None], float] = {}
+        self._in_flight: dict[asyncio.Task[None], float] = {}
+        self._snapshots: dict[asyncio.Task[None], float] = {}
+        # Calls with entries during which the peer lacked some of them.
+        self._unconfirmed: set[asyncio.Task[None]] = set()
         self._task = spawn_task(self._replicate())
 
     def wake(self, is_heartbeat: bool = False) -> None:
@@ -145,13 +148,13 @@
         )
 
     def _track(
-        self, tasks: set[asyncio.Task[None]], call: Coroutine[Any, Any, None]
+        self, tasks: dict[asyncio.Task[None], float], call: Coroutine[Any, Any, None]
     ) -> None:
         task = asyncio.ensure_future(call)
-        tasks.add(task)
+        tasks[task] = self._core.timers.now()
 
         def handle_done(task: asyncio.Task[None]) -> None:
-            tasks.discard(task)
+            tasks.pop(task, None)
             self._wake.set()
 
         task.add_done_callback(handle_done)
@@ -180,9 +183,23 @@
             held = request.prev_index + len(request.entries)
             self.next_index = max(self.next_index, self.match_index + 1, held + 1)
         else:
+            self._unconfirmed.update(self._in_flight)
             self._probe_from(max(self.match_index + 1, response.next_index))
+        self._cancel_overdue_calls()
         self._on_progress()
 
+    def _cancel_overdue_calls(self) -> None:
+        """Cancel calls whose entries a live peer lacked, after an election timeout.
+
+        They were lost with their connection, and would keep the entries from being sent
+        again.
+        """
+        latest_start = self._core.timers.now() - self._core.election_timeout_s
+        self._unconfirmed.intersection_update(self._in_flight)
+        for call in self._unconfirmed:
+            if self._in_flight[call] < latest_start:
+                call.cancel()
+
     def _handle_lost_append(self, sent_at: float, error: GeraniumbendError) -> None:
         if self.acknowledged_at > sent_at:
             # The peer is live, and its responses to heartbeats tell what it lacks.
@@ -211,11 +228,12 @@
         self.next_index = max(1, min(index, self._core.log.last_index + 1))
 
     async def _send_snapshot(self) -> None:
-        snapshot = await self._core.storage.read_snapshot()
         try:
+            snapshot = await self._core.storage.read_snapshot()
             installed = snapshot is not None and await self._send_chunks(snapshot)
-        except GeraniumbendError:
-            installed = False
+        except GeraniumbendError as error:
+            self.last_error = error.message
+            installed, snapshot = False, None
         if installed and snapshot is not None:
             self.match_index = max(self.match_index, snapshot.index)
             self.next_index = self.match_index + 1
