--- a/src/geraniumbend/replication/_membership_changes.py
+++ b/src/geraniumbend/replication/_membership_changes.py
@@ -86,10 +86,12 @@
         await self._leading.change_members(members, promoted)
 
     async def remove(self, name: str) -> None:
-        """Remove a member.
+        """Remove a member; return once the others hold enough copies without it.
 
         Raises
         ------
+        UnavailableError
+            If the others lack copies of what was committed.
         ConfigurationError
             If there is no such member.
         ConflictError
@@ -104,6 +106,7 @@
         if known.is_voter:
             await self._require_live_majority(remaining, name)
         await self._leading.change_members(members, remaining)
+        await self._core.wait_applied(self._core.members_index)
         if name == self._core.node:
             await self._transfer_and_step_down()
 
