Read departures again instead of writing over a file that could not be read

A server that has left could get requests again after a loss of all processes, if a majority of hosts started so.

The start reads again for 10 s and then ends with a typed error; the file is left as it is. EIO still counts as damage.

--- a/src/geraniumbend/membership/_departure_log.py
+++ b/src/geraniumbend/membership/_departure_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import struct
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -13,11 +14,13 @@
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.membership._records import Record
 from geraniumbend.tasks import spawn_task
+from geraniumbend.timers import LoopTimers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from geraniumbend.replication import Disk
+    from geraniumbend.timers import TimerService
 
 FILE_NAME = "departures"
 # Length and checksum of the record that follows.
@@ -27,6 +30,9 @@
 MIN_COMPACT_BYTES = 256 * 1024
 # Largest number of records that wait for a disk that does not respond.
 MAX_PENDING = 4_096
+# Time in seconds for which a start tries to read the file, and between two attempts.
+READ_LIMIT_S = 10.0
+READ_RETRY_S = 0.5
 
 declare_event(
     823,
@@ -55,11 +61,18 @@
         Data folder of the process.
     list_departures : callable
         Returns the records that are still needed, when the file is written anew.
+    timers : TimerService or None, default=None
+        Clock; that of the event loop if None.
     """
 
     def __init__(
-        self, disk: Disk, folder: str, list_departures: Callable[[], list[Record]]
+        self,
+        disk: Disk,
+        folder: str,
+        list_departures: Callable[[], list[Record]],
+        timers: TimerService | None = None,
     ) -> None:
+        self._timers = timers or LoopTimers()
         self._disk = disk
         self._folder = folder
         self._path = f"{folder}/{FILE_NAME}"
@@ -71,13 +84,36 @@
         self._compacted_size = 0
 
     async def load(self) -> list[Record]:
-        """Return the stored records, the older ones of a server first."""
-        try:
-            content = await self._disk.run(self._read)
-        except OSError as error:
-            log_event(823, path=self._path, error=str(error))
-            return []
-        return list(_unpack_records(content))
+        """Return the stored records, the older ones of a server first.
+
+        A file that cannot be read at present is read again for `READ_LIMIT_S`; the
+        records of one that is damaged are those before the damage.
+
+        Raises
+        ------
+        StorageError
+            If the file cannot be read. It is left as it is.
+        """
+        begin_s = self._timers.now()
+        while True:
+            try:
+                content = await self._disk.run(self._read)
+            except OSError as error:
+                log_event(823, path=self._path, error=str(error))
+                if error.errno == errno.EIO:
+                    return []
+                if self._timers.now() - begin_s >= READ_LIMIT_S:
+                    raise self._read_error(error) from error
+            else:
+                return list(_unpack_records(content))
+            await self._timers.sleep(READ_RETRY_S)
+
+    def _read_error(self, error: OSError) -> StorageError:
+        return StorageError(
+            f"{self._path} cannot be read: {error}",
+            "check the permissions of the data folder and the limits on memory and "
+            "descriptors",
+        )
 
     async def append(self, record: Record) -> None:
         """Store a record; return when it is durable.
--- a/src/geraniumbend/roles/_control.py
+++ b/src/geraniumbend/roles/_control.py
@@ -114,6 +114,7 @@
             LocalDisk(self._pool),
             settings.control.data_folder,
             self._membership.list_departures,
+            timers,
         )
         self._departures = DepartureCopies(
             self._address,
