Check unread bytes beside the crowds

DEPLOY.md counts bytes that have arrived and are not read towards the memory of a process. The tests of crowds looked at VmHWM alone. They now also bound resident memory and the receive queues of the process's sockets together (rx_queue of /proc/net/tcp), by the memory of the host as before.

--- a/tests/crowds/_callers.py
+++ b/tests/crowds/_callers.py
@@ -82,14 +82,54 @@
     return [hello, struct.pack("!IBQ", 8_000_000, 1, 0), *([b"x" * 65_536] * 16)]
 
 
+def send_long_legal_body(path):
+    """Return the start of a body of 6 MB, within the limit."""
+    head = write_head(b"POST", path, b"Content-Length: 6000000")
+    return [head, *([b"x" * 65_536] * 40)]
+
+
+def send_many_small_chunks(path):
+    """Return the start of a body in chunks of one byte, 1.2 MB on the wire."""
+    head = write_head(b"POST", path, b"Transfer-Encoding: chunked")
+    return [head, *([b"1\r\nx\r\n" * 10_000] * 20)]
+
+
+def send_chunk_extension(path):
+    """Return a chunked body whose first chunk has an extension without end."""
+    head = write_head(b"POST", path, b"Transfer-Encoding: chunked")
+    return [head, b"1;", *([b"a" * 65_536] * 20)]
+
+
+def send_upgrade(path):
+    """Return a request to change to WebSocket, and bytes of the new protocol."""
+    head = write_head(
+        b"GET", path, b"Connection: Upgrade", b"Upgrade: websocket", b"X: y"
+    )
+    return [head, *([b"\x82\x7e\xff\xff" + b"x" * 65_535] * 20)]
+
+
+def send_http2(path):
+    """Return the preface of HTTP/2 and frames."""
+    preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+    return [preface, *([b"\x00\x40\x00\x00\x00\x00\x00\x00\x01" + b"x" * 16_384] * 80)]
+
+
+def send_pipelined_downloads(path):
+    """Return 50 pipelined requests for a long response."""
+    return [write_head(b"GET", path) * 50]
+
+
 class Crowd:
     """Connections that send what a caller sends, read nothing and stay open."""
 
     def __init__(self):
         self._sockets = []
 
-    async def send(self, address, pieces, pause_s=0.0):
-        """Connect, and send the pieces as far as the process takes them."""
+    async def send(self, address, pieces, pause_s=0.0, ends=False):
+        """Connect, and send the pieces as far as the process takes them.
+
+        With `ends`, the sending side is closed then.
+        """
         loop = asyncio.get_running_loop()
         connected = socket.socket()
         self._sockets.append(connected)
@@ -102,12 +142,24 @@
                     await loop.sock_sendall(connected, piece)
                     if pause_s:
                         await asyncio.sleep(pause_s)
+                if ends:
+                    connected.shutdown(socket.SHUT_WR)
 
-    async def gather(self, targets, count, build, pause_s=0.0):
+    async def read(self, size, pause_s, duration_s):
+        """Read up to `size` bytes of each connection, again after each pause."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + duration_s
+        while loop.time() < end:
+            for connected in self._sockets:
+                with contextlib.suppress(OSError):
+                    connected.recv(size)
+            await asyncio.sleep(pause_s)
+
+    async def gather(self, targets, count, build, pause_s=0.0, ends=False):
         """Let `count` callers at each target send at the same time."""
         await asyncio.gather(
             *(
-                self.send(address, build(path), pause_s)
+                self.send(address, build(path), pause_s, ends)
                 for _ in range(count)
                 for address, path in targets
             )
--- a/tests/crowds/_processes.py
+++ b/tests/crowds/_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import resource
@@ -22,6 +23,10 @@
 CONTROL_MB = 96
 MAX_FDS = 400
 START_TIMEOUT_S = 20.0
+SAMPLE_PERIOD_S = 0.05
+# Samples between two of the unread bytes, which take longer to read.
+UNREAD_SAMPLES = 4
+TCP_LISTEN = "0A"
 ANSWER_TIMEOUT_S = 10.0
 ROUTES = [
     ["r1", "h.example", "/p/", "safe", "12s", "400ms", 2, None, 2, "one"],
@@ -41,10 +46,14 @@
 
     def __init__(self, role, settings, folder):
         self.role = role
+        self.max_fds = settings["limits"]["max-fds"]
         self.settings = settings
         self.path = Path(folder) / f"{settings['node-name']}.json"
         self.log_path = self.path.with_suffix(".log")
         self.most_descriptors = 0
+        # Largest sum of resident memory and of bytes that have arrived unread, in MB.
+        self.most_with_unread_mb = 0.0
+        self.most_unread_mb = 0.0
         self.running = None
         self._sampling = None
 
@@ -57,9 +66,9 @@
                 stderr=log,
                 env={**os.environ, **KEY_ENVIRONMENT},
             )
-        limits = (MAX_FDS, MAX_FDS)
+        limits = (self.max_fds, self.max_fds)
         resource.prlimit(self.running.pid, resource.RLIMIT_NOFILE, limits)
-        self._sampling = asyncio.ensure_future(self._sample_descriptors())
+        self._sampling = asyncio.ensure_future(self._sample())
 
     async def stop(self):
         if self.running is None:
@@ -78,28 +87,72 @@
 
     def read_peak_mb(self):
         """Return the largest resident memory so far, in MB."""
+        return self._read_status("VmHWM") / 1000
+
+    def read_unread_bytes(self):
+        """Return the bytes that have arrived and wait in the kernel to be read.
+
+        Those of connections that are not accepted yet have no descriptor and are not
+        counted.
+        """
+        folder = f"/proc/{self.running.pid}/fd"
+        inodes = set()
+        for name in os.listdir(folder):
+            with contextlib.suppress(OSError):
+                target = os.readlink(f"{folder}/{name}")
+                if target.startswith("socket:["):
+                    inodes.add(target[8:-1])
+        unread = 0
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            if fields[3] != TCP_LISTEN and fields[9] in inodes:
+                unread += int(fields[4].partition(":")[2], 16)
+        return unread
+
+    def sample_memory(self):
+        """Note the resident memory and the unread bytes of this moment."""
+        unread_mb = self.read_unread_bytes() / 1e6
+        together_mb = self._read_status("VmRSS") / 1000 + unread_mb
+        self.most_unread_mb = max(self.most_unread_mb, unread_mb)
+        self.most_with_unread_mb = max(self.most_with_unread_mb, together_mb)
+
+    def _read_status(self, name):
         status = Path(f"/proc/{self.running.pid}/status").read_text()
-        line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-        return int(line.split()[1]) / 1000
+        line = next(line for line in status.splitlines() if line.startswith(name))
+        return int(line.split()[1])
 
-    async def _sample_descriptors(self):
+    async def _sample(self):
         folder = f"/proc/{self.running.pid}/fd"
+        samples = 0
         while True:
             try:
                 count = len(os.listdir(folder))
-            except OSError:
+                if samples % UNREAD_SAMPLES == 0:
+                    self.sample_memory()
+            except (OSError, StopIteration):
                 return
+            samples += 1
             self.most_descriptors = max(self.most_descriptors, count)
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(SAMPLE_PERIOD_S)
 
 
 class Hosts:
-    """A control host, a gateway, and the addresses that a crowd can reach."""
+    """A control host, a gateway, and the addresses that a crowd can reach.
+
+    Parameters
+    ----------
+    gateway_mb, control_mb : int
+        Memory of the hosts in MB.
+    max_fds : int
+        Descriptors of each of them.
+    """
 
-    def __init__(self):
+    def __init__(self, gateway_mb=GATEWAY_MB, control_mb=CONTROL_MB, max_fds=MAX_FDS):
         self.folder = tempfile.TemporaryDirectory()
-        peer, front, ready, control = (reserve_port() for _ in range(4))
-        internal = reserve_port()
+        front, ready, control = (reserve_port() for _ in range(3))
+        # The port for forwarded requests is the one behind that of peers.
+        peer = reserve_port(2)
+        internal = peer + 1
         self.front = ("127.0.1.11", front)
         self.ready = ("127.0.1.11", ready)
         self.gateway_peer = ("127.0.1.11", peer)
@@ -123,7 +176,7 @@
                 "listen": {"control": f"127.0.1.1:{control}"},
                 "bootstrap": True,
                 "data-dir": f"{self.folder.name}/data",
-                "limits": {"memory-mb": CONTROL_MB, "max-fds": MAX_FDS},
+                "limits": {"memory-mb": control_mb, "max-fds": max_fds},
             },
             self.folder.name,
         )
@@ -137,7 +190,7 @@
                     "front": f"127.0.1.11:{front}",
                     "ready": f"127.0.1.11:{ready}",
                 },
-                "limits": {"memory-mb": GATEWAY_MB, "max-fds": MAX_FDS},
+                "limits": {"memory-mb": gateway_mb, "max-fds": max_fds},
             },
             self.folder.name,
         )
