Drop the requests of connections that end

Callers saw nothing; a gateway kept everything of connections that were closed while requests were handled or waited, until a full cycle collection, which comes seldom. Beside 1,200 callers that pipeline 50 requests each and read nothing, 1,200 of 1,200 closed connections were still in memory, with 15,000 tracebacks and 1,400 requests.

Cause: the task of a connection that is cancelled keeps the exception with all frames, and the timeouts in these frames refer to the task. Parsed requests that nobody handles refer to the connection through their bodies. And a connection that the account closes freed its requests only in the next round of the event loop, while a crowd goes on filling this one.

The task now ends without raising the cancellation again, parsed requests are dropped when the connection ends, and at once when the account closes it.

--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -167,8 +167,9 @@
                 self._restart_keepalive()
             await self._linger()
         except asyncio.CancelledError:
+            # Raised again, the task would keep the exception with its frames, which
+            # refer to the task through their timeouts, until a cycle collection.
             self.force_close()
-            raise
         finally:
             self._task_handler = None
             while self._pipelined:
@@ -231,12 +232,20 @@
                 # Refused by `_serve_next`, after the responses before it.
                 return
             request.turn = self._loop.create_future()
-            task = asyncio.ensure_future(self.server.handler(request))
+            task = asyncio.ensure_future(self._handle_ahead(request))
             task.add_done_callback(_retrieve_exception)
             self._pipelined.append(_PipelinedRequest(request, payload, task))
             server.pipelined += 1
             self._consume_message()
 
+    async def _handle_ahead(self, request: HttpCallerRequest) -> None:
+        """Handle a pipelined request; its task is only cancelled to end it."""
+        try:
+            await self.server.handler(request)
+        except asyncio.CancelledError:
+            # Not raised again; see `start`.
+            request.keep_alive = False
+
     def _take_pipelined(self) -> _PipelinedRequest:
         self.server.pipelined -= 1
         return self._pipelined.popleft()
--- a/src/geraniumbend/adapters/_guarded_handler.py
+++ b/src/geraniumbend/adapters/_guarded_handler.py
@@ -89,6 +89,7 @@
             body._buffer.clear()
             body._size = body._buffer_offset = 0
             body._http_chunk_splits = None
+        self._drop_messages()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, or the first slice of them."""
@@ -220,6 +221,8 @@
         else:
             transport.abort()
             self.force_close()
+        # Their memory is needed before the loop reports that the connection is lost.
+        self._drop_messages()
 
     def reset(self) -> None:
         """Reset the connection so that a response looks truncated.
@@ -236,6 +239,15 @@
         transport.abort()
         self.force_close()
 
+    def _drop_messages(self) -> None:
+        """Drop parsed requests that nobody handles; their bodies refer to this object.
+
+        One is kept for a task that was woken for it.
+        """
+        is_taken = self._waiter is not None and self._waiter.done()
+        while len(self._messages) > is_taken:
+            self._messages.pop()
+
     def _resume_transport_reading(self) -> None:
         if self._close or self._force_close:
             self._unparsed = b""
--- a/tests/proxying/test_reference_cycles.py
+++ b/tests/proxying/test_reference_cycles.py
@@ -39,6 +39,10 @@
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
 
+async def hang(received, reader, writer):
+    await asyncio.sleep(30)
+
+
 def list_own_garbage():
     """Return the types of unreachable objects of the product, not of the stubs."""
     gc.set_debug(gc.DEBUG_SAVEALL)
@@ -147,3 +151,17 @@
             GET, answer_late, answer_late, retry=retry, objective_s=0.01
         )
         self.assertEqual(found, [])
+
+    async def test_callers_that_leave_before_their_responses_leave_none(self):
+        """Guards against connections that stay in memory after their callers left."""
+        for request in (GET, GET * 4, POST[:-1]):
+            async with ScriptedBackend(hang) as backend, DataPath(backend) as path:
+
+                async def leave(path=path, request=request):
+                    _, writer = await path.connect()
+                    writer.write(request)
+                    await asyncio.sleep(0.02)
+                    writer.transport.abort()
+
+                found = await self.count(path, leave)
+            self.assertEqual(found, [], request)
