Parse chunks in turns, and join them while they wait

Beside 1,200 callers whose bodies come in chunks of one byte, an ordinary request waited 3.97 s at a gateway, or was refused. Only pieces of more than 16 KiB were parsed in turn with other connections; of a crowd that sends less at a time all pieces were parsed in one round of the event loop, 2 ms for 8 KiB. Each chunk also took about 50 bytes for its end and its place in a list that grows, which fragments the heap.

Bodies in chunks are now parsed in turns from 1 KiB on, for 2 ms in each round (several connections if their chunks are longer), and parts that wait are joined; the ends of chunks are forgotten, which nobody reads. What a joined body holds is its size.

--- a/src/geraniumbend/adapters/_caller_guard.py
+++ b/src/geraniumbend/adapters/_caller_guard.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import resource
+import time
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -17,6 +18,9 @@
     from geraniumbend.timers import Subscription, TimerService
 
 TICK_S = 0.25
+# Time for which slices are parsed in each round of the event loop, in seconds. One
+# slice of the smallest chunks takes as long.
+TURNS_S = 0.002
 # Ticks between two log events about closed connections.
 EVENT_TICKS = 4
 # Part of the account that is read from one socket at once, and its bounds in bytes.
@@ -127,12 +131,12 @@
     def add_turn(self, connection: GuardedConnection) -> None:
         """Let a connection parse its next bytes after those that wait already.
 
-        One connection parses in each round of the event loop, so that many bodies in
-        small chunks do not delay other callers.
+        Connections parse for `TURNS_S` in each round of the event loop, so that many
+        bodies in small chunks do not delay other callers.
         """
         self._turns.append(connection)
         if len(self._turns) == 1:
-            asyncio.get_running_loop().call_soon(self._run_turn)
+            asyncio.get_running_loop().call_soon(self._run_turns)
 
     def tick(self) -> None:
         """Note that a period has passed, and close and report what is due."""
@@ -173,14 +177,23 @@
             "closed": dict(self._closed),
         }
 
+    def _run_turns(self) -> None:
+        end_s = time.monotonic() + TURNS_S
+        try:
+            # Connections that ask for a further turn get it in a later round.
+            for _ in range(len(self._turns)):
+                self._run_turn()
+                if time.monotonic() >= end_s:
+                    break
+        finally:
+            if self._turns:
+                asyncio.get_running_loop().call_soon(self._run_turns)
+
     def _run_turn(self) -> None:
-        connection = self._turns[0]
         try:
-            connection.parse_next()
+            self._turns[0].parse_next()
         finally:
             self._turns.popleft()
-            if self._turns:
-                asyncio.get_running_loop().call_soon(self._run_turn)
 
     def _apply(self) -> None:
         for closing in self.account.choose_closings():
--- a/src/geraniumbend/adapters/_guarded_handler.py
+++ b/src/geraniumbend/adapters/_guarded_handler.py
@@ -20,16 +20,20 @@
 SLICE_BYTES = 8 * 1024
 # Bytes that are parsed at once in any case: the largest legal head.
 UNSLICED_BYTES = 16 * 1024
+# Bytes of a body in chunks that are parsed at once.
+UNSLICED_CHUNKS_BYTES = 1024
 # Memory of a connection with unfinished work, and of a parsed request.
 CONNECTION_BYTES = 8 * 1024
 MESSAGE_BYTES = 6 * 1024
 # Memory of one field of a pipelined request besides its bytes, which are kept as bytes
 # and as text.
 FIELD_BYTES = 256
-# Memory for the end of a chunk, which the parser's stream keeps for each one.
-CHUNK_BYTES = 48
-# Bytes of a response that wait at the backend's connection while a caller reads slowly.
-UNREAD_RESPONSE_BYTES = 128 * 1024
+# Parts of a body that wait at most; more are joined, since each takes more memory than
+# the bytes of a small chunk.
+MAX_BODY_PARTS = 16
+# Bytes of a response that wait at the backend's connection while the caller reads
+# slowly, or an earlier response: its read buffers and what its receive buffer holds.
+UNREAD_RESPONSE_BYTES = 320 * 1024
 
 
 class GuardedHandler(RequestHandler):
@@ -102,7 +106,13 @@
         self._guard.account.note_progress(holding)
         if self._unparsed:
             self._unparsed += data
-        elif len(data) > UNSLICED_BYTES and not self._is_plain_body():
+        elif self._is_chunked_body():
+            # Many callers with small chunks would otherwise be parsed in one round.
+            if len(data) > UNSLICED_CHUNKS_BYTES:
+                self._unparsed = data
+            else:
+                self.parse(data)
+        elif len(data) > UNSLICED_BYTES and self._last_body.is_eof():
             self._unparsed = data[SLICE_BYTES:]
             self.parse(data[:SLICE_BYTES])
         else:
@@ -178,7 +188,7 @@
             held += self._count_waiting_heads(len(self._messages) + started)
         body = self._last_body
         if body is not EMPTY_PAYLOAD and (body._size or not body.is_eof()):
-            held += body._size + CHUNK_BYTES * len(body._http_chunk_splits or ())
+            held += body._size
         if self.transport is not None:
             held += self.transport.get_write_buffer_size()
         if self._paused:
@@ -262,16 +272,17 @@
             self._has_turn = True
             self._guard.add_turn(self)
 
-    def _is_plain_body(self) -> bool:
-        """Return whether a body with a length is being received."""
-        body = self._last_body
-        return not (body.is_eof() or self._is_chunked)
+    def _is_chunked_body(self) -> bool:
+        """Return whether a body in chunks is being received."""
+        return self._is_chunked and not self._last_body.is_eof()
 
     def _note_body(self) -> None:
         if self._messages:
             message, self._last_body = self._messages[-1]
             self._is_chunked = getattr(message, "chunked", False)
             self._progress = (self._request_count, self._last_body.total_bytes)
+        if self._is_chunked and len(self._last_body._buffer) > MAX_BODY_PARTS:
+            _join_parts(self._last_body)
 
     def _note_heads(self, count: int) -> None:
         """Note the heads of the messages that were parsed last."""
@@ -308,3 +319,12 @@
         if holding is not None:
             assert self._guard is not None
             self._guard.close(holding)
+
+
+def _join_parts(body: Any) -> None:
+    """Join the parts of a body that wait, and forget where its chunks end."""
+    joined = b"".join(body._buffer)[body._buffer_offset :]
+    body._buffer.clear()
+    body._buffer.append(joined)
+    body._buffer_offset = 0
+    body._http_chunk_splits.clear()
