Bound what callers leave unread in the kernel

Bytes that have arrived and are not read count towards the memory of a process. Each stopped connection kept its receive buffer full, a 512th of the account each: 1,200 callers at a gateway of 100 MB held up to 117 MB there, and a process of the users' machines would have been killed.

An eighth of the memory of the host is now the most that all receive buffers hold together, by construction: connections have a narrow window (2 to 16 KiB, by their number), and the limit on connections follows from the memory if there are descriptors for more. A connection that receives a long body gets a wide window, as large as before, while there is one (30 or more on the users' machines); one that receives little gives it back when others ask. The window is narrowed only when no more than a narrow one waits unread. Peers have a narrow window until their first signed frame, and may send 0.4 of the account before it in place of 16 MiB. limit_connections replaces 'no limit' for a process without a limit on descriptors, so that the test that expected 0 there now expects the number that the memory allows.

Trailers that came in pieces were counted until the next request; small pieces showed it (test_bytes_of_whole_requests_are_not_counted).

--- a/src/geraniumbend/adapters/_caller_guard.py
+++ b/src/geraniumbend/adapters/_caller_guard.py
@@ -8,11 +8,19 @@
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Any, Protocol
 
-from geraniumbend.caller_limits import CallerAccount, choose_limits
+from geraniumbend.adapters._sockets import set_receive_buffer
+from geraniumbend.caller_limits import (
+    CallerAccount,
+    ReceiveWindows,
+    choose_limits,
+    choose_windows,
+)
 from geraniumbend.logs import declare_event, log_event
 
 if TYPE_CHECKING:
-    from geraniumbend.caller_limits import Closing, Holding
+    import socket
+
+    from geraniumbend.caller_limits import AccountLimits, Closing, Holding, WindowSizes
     from geraniumbend.metrics import MetricSet
     from geraniumbend.settings import Settings
     from geraniumbend.timers import Subscription, TimerService
@@ -23,10 +31,6 @@
 TURNS_S = 0.002
 # Ticks between two log events about closed connections.
 EVENT_TICKS = 4
-# Part of the account that is read from one socket at once, and its bounds in bytes.
-RECEIVE_SHARE = 1 / 512
-MIN_RECEIVE_BYTES = 16 * 1024
-MAX_RECEIVE_BYTES = 128 * 1024
 
 declare_event(
     204,
@@ -48,6 +52,10 @@
         """Parse the next received bytes."""
         ...
 
+    def narrow_window(self) -> None:
+        """Receive no more at once than a narrow window, unless bytes wait unread."""
+        ...
+
     def close_for_limit(self) -> None:
         """Close the connection without a response that could look whole."""
         ...
@@ -68,8 +76,8 @@
         self._held_bytes = held_bytes
         self._descriptor_limit = descriptor_limit
         self.account = CallerAccount(self._choose_limits())
-        share = int(RECEIVE_SHARE * held_bytes)
-        self.receive_bytes = min(max(share, MIN_RECEIVE_BYTES), MAX_RECEIVE_BYTES)
+        self._windows = ReceiveWindows(self._choose_windows())
+        self._listeners: list[socket.socket] = []
         self._connections: dict[Holding, GuardedConnection] = {}
         self._held_back: dict[Holding, None] = {}
         self._turns: deque[GuardedConnection] = deque()
@@ -83,6 +91,11 @@
         """Build the guard from the settings of the process."""
         return cls(settings.node.held_limit_bytes, settings.node.descriptor_limit)
 
+    @property
+    def window_sizes(self) -> WindowSizes:
+        """Return the sizes of the receive buffers of connections."""
+        return self._windows.sizes
+
     @property
     def held_limit_bytes(self) -> int:
         """Return the bytes that may be held for unfinished work."""
@@ -97,6 +110,22 @@
         if self._ticking is not None:
             self._ticking.cancel()
 
+    def add_listener(self, listener: socket.socket) -> None:
+        """Give the connections that a socket accepts from now on a narrow window.
+
+        They inherit its receive buffer. What the window excludes waits at the caller.
+        """
+        self._listeners.append(listener)
+        set_receive_buffer(listener, self.window_sizes.narrow_bytes)
+
+    def widen(self, holding: Holding) -> bool:
+        """Return whether a connection with a long body may have a wide window."""
+        return not self.account.is_full and self._windows.widen(holding)
+
+    def narrow(self, holding: Holding) -> None:
+        """Note that a connection has a narrow window and nothing unread."""
+        self._windows.narrow(holding)
+
     def open(
         self, connection: GuardedConnection, source: str, listener: str
     ) -> Holding:
@@ -110,6 +139,7 @@
         """Forget a connection."""
         self._connections.pop(holding, None)
         self._held_back.pop(holding, None)
+        self._windows.narrow(holding)
         self.account.close(holding)
         self._release()
 
@@ -141,8 +171,10 @@
     def tick(self) -> None:
         """Note that a period has passed, and close and report what is due."""
         self._ticks += 1
-        self.account.limits = self._choose_limits()
+        self._renew_limits()
         self.account.tick()
+        for holding in self._windows.choose_narrowings():
+            self._connections[holding].narrow_window()
         self._apply()
         self._release()
         if self._unreported and self._ticks % EVENT_TICKS == 0:
@@ -174,6 +206,7 @@
             "connections": len(self.account),
             "full": self.account.is_full,
             "not_read": len(self._held_back),
+            "windows": {**self.window_sizes._asdict(), "wide": len(self._windows)},
             "closed": dict(self._closed),
         }
 
@@ -200,6 +233,7 @@
             self._closed[closing.reason] += 1
             self._unreported.append(closing)
             self._held_back.pop(closing.holding, None)
+            self._windows.narrow(closing.holding)
             connection = self._connections.pop(closing.holding, None)
             if connection is not None:
                 connection.close_for_limit()
@@ -228,7 +262,20 @@
         )
         self._unreported.clear()
 
-    def _choose_limits(self) -> Any:
+    def _renew_limits(self) -> None:
+        limits = self._choose_limits()
+        if limits == self.account.limits:
+            return
+        self.account.limits = limits
+        self._windows.sizes = self._choose_windows()
+        for listener in self._listeners:
+            if listener.fileno() >= 0:
+                set_receive_buffer(listener, self.window_sizes.narrow_bytes)
+
+    def _choose_windows(self) -> WindowSizes:
+        return choose_windows(self._held_bytes, self.account.limits.connections)
+
+    def _choose_limits(self) -> AccountLimits:
         # Read each time: the limit of a running process may be changed.
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         process_limit = None if soft == resource.RLIM_INFINITY else soft
--- a/src/geraniumbend/adapters/_guarded_handler.py
+++ b/src/geraniumbend/adapters/_guarded_handler.py
@@ -11,6 +11,8 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler
 
+from geraniumbend.adapters._connection_window import ConnectionWindow
+
 if TYPE_CHECKING:
     from geraniumbend.adapters._caller_guard import CallerGuard
     from geraniumbend.caller_limits import Holding
@@ -66,9 +68,14 @@
         self._held_back = False
         self._last_body: Any = EMPTY_PAYLOAD
         self._is_chunked = False
+        # Length of the last body in bytes; 0 if it is chunked.
+        self._body_length = 0
+        self._window: ConnectionWindow | None = None
         self._taken = 0
         self._requests = 0
         self._framing_bytes = 0
+        # End of the bytes before, in which the blank line behind trailers may begin.
+        self._last_bytes = b""
         self._progress = (0, 0)
         # Memory of the heads of the requests that are handled or wait, oldest first.
         self._heads: deque[int] = deque()
@@ -81,6 +88,9 @@
             peer = self.peername
             source = peer[0] if isinstance(peer, tuple) else ""
             self._holding = self._guard.open(self, source, self._listener)
+            connected = transport.get_extra_info("socket")
+            if connected is not None:
+                self._window = ConnectionWindow(self._guard, self._holding, connected)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Close the holding of the connection."""
@@ -103,7 +113,7 @@
             self._note_body()
             return
         assert self._guard is not None
-        self._guard.account.note_progress(holding)
+        self._guard.account.note_received(holding, len(data))
         if self._unparsed:
             self._unparsed += data
         elif self._is_chunked_body():
@@ -128,6 +138,8 @@
 
         The parser keeps their fields: 100 of 16 KiB, or 128 of 8 KiB.
         """
+        body = self._last_body
+        was_open = not body.is_eof()
         RequestHandler.data_received(self, data)
         if self._holding is None or self._close or self._force_close:
             # Nothing is parsed any more.
@@ -135,6 +147,15 @@
             return
         progress = (self._request_count, self._last_body.total_bytes)
         self._note_heads(progress[0] - self._progress[0])
+        if was_open and self._is_chunked:
+            ending = self._last_bytes + data
+            self._last_bytes = data[-3:]
+            if body.is_eof() and progress[0] == self._progress[0]:
+                # Trailers are not kept; what follows them is the start of a head.
+                self._framing_bytes = len(ending) - ending.rfind(b"\r\n\r\n") - 4
+                self._last_bytes = b""
+                self._progress = progress
+                return
         if progress == self._progress:
             self._framing_bytes += len(data)
             return
@@ -199,6 +220,8 @@
         guard.update(holding, held + CONNECTION_BYTES if held else 0)
         if self._holding is None or self._held_back:
             return
+        if self._window is not None:
+            self._fit_window(self._window)
         if guard.holds_back(holding):
             self._held_back = True
             self._pause_transport_reading()
@@ -218,6 +241,11 @@
         if not (self._reading_paused or self._buffer_paused):
             self._resume_transport_reading()
 
+    def narrow_window(self) -> None:
+        """Receive no more at once than a narrow window, unless more waits unread."""
+        if self._holding is not None and self._window is not None:
+            self._window.narrow()
+
     def close_for_limit(self) -> None:
         """Close between responses, otherwise reset so that nothing looks whole."""
         self._holding = None
@@ -280,10 +308,26 @@
         if self._messages:
             message, self._last_body = self._messages[-1]
             self._is_chunked = getattr(message, "chunked", False)
+            self._body_length = 0
+            if self._last_body is not EMPTY_PAYLOAD and not self._is_chunked:
+                headers: Any = getattr(message, "headers", {})
+                length = headers.get("Content-Length", "")
+                self._body_length = int(length) if length.isdecimal() else 0
             self._progress = (self._request_count, self._last_body.total_bytes)
         if self._is_chunked and len(self._last_body._buffer) > MAX_BODY_PARTS:
             _join_parts(self._last_body)
 
+    def _fit_window(self, window: ConnectionWindow) -> None:
+        """Let the window be wide while more than a narrow one of a body is to come."""
+        body = self._last_body
+        if body.is_eof():
+            window.narrow()
+            return
+        assert self._guard is not None
+        left = self._body_length - body.total_bytes
+        if self._is_chunked or left > self._guard.window_sizes.narrow_bytes:
+            window.widen()
+
     def _note_heads(self, count: int) -> None:
         """Note the heads of the messages that were parsed last."""
         if not count:
--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -106,7 +106,7 @@
             max_line_size=limits.header_limit_bytes,
             max_field_size=limits.header_limit_bytes,
             max_headers=MAX_FIELDS,
-            read_bufsize=guard.receive_bytes if guard else READ_BUFFER_BYTES,
+            read_bufsize=guard.window_sizes.wide_bytes if guard else READ_BUFFER_BYTES,
         )
         self.handler = handler
         self.guard = guard
--- a/src/geraniumbend/adapters/_operators_protocol.py
+++ b/src/geraniumbend/adapters/_operators_protocol.py
@@ -84,6 +84,9 @@
     def parse_next(self) -> None:
         """Do nothing: Sanic parses in the task of the connection."""
 
+    def narrow_window(self) -> None:
+        """Do nothing: all windows of this API are narrow."""
+
     def close_for_limit(self) -> None:
         """Close the connection; its response, if any, lacks its end."""
         self._holding = None
--- a/src/geraniumbend/adapters/_rpc_server.py
+++ b/src/geraniumbend/adapters/_rpc_server.py
@@ -7,13 +7,14 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from geraniumbend import errors
+from geraniumbend._keys import TAG_BYTES
 from geraniumbend.adapters._ports import BACKLOG, open_listener
 from geraniumbend.adapters._rpc_frames import (
     MAX_FRAME_BYTES,
     FrameAllowance,
     FrameChannel,
 )
-from geraniumbend.adapters._sockets import limit_silence
+from geraniumbend.adapters._sockets import limit_silence, set_receive_buffer
 from geraniumbend.errors import GeraniumbendError, ProtocolError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.wire import decode, encode, load_structs
@@ -31,6 +32,12 @@
 # MAX_FRAME_BYTES over a link of 2 Mbit/s.
 FIRST_FRAME_TIMEOUT_S = 40.0
 UNVERIFIED_LIMIT_BYTES = 2 * MAX_FRAME_BYTES
+# Part of the account that peers without a verified signature may take, but at least one
+# frame.
+UNVERIFIED_SHARE = 0.4
+# Receive buffer of a peer with a verified signature. Links between domains have about
+# 1 ms, so it does not delay the largest messages.
+PEER_RECEIVE_BYTES = 256 * 1024
 MAX_CALLS_PER_CONNECTION = 4096
 
 declare_event(
@@ -83,7 +90,7 @@
         self._connections: set[asyncio.Task[None]] = set()
         self._calls = 0
         self._rejected = 0
-        self._allowance = FrameAllowance(UNVERIFIED_LIMIT_BYTES)
+        self._allowance = FrameAllowance(_limit_unverified(guard))
 
     @property
     def counts(self) -> RpcCounts:
@@ -119,6 +126,8 @@
             If the address cannot be listened on.
         """
         listener = await open_listener(self.host, self.port)
+        if self._guard is not None:
+            self._guard.add_listener(listener)
         self._server = await asyncio.start_server(
             self._accept, sock=listener, limit=1024 * 1024, backlog=BACKLOG
         )
@@ -146,6 +155,9 @@
                     await channel.open()
                 async with asyncio.timeout(FIRST_FRAME_TIMEOUT_S):
                     first = await channel.receive()
+            if self._guard is not None:
+                connected = writer.get_extra_info("socket")
+                set_receive_buffer(connected, PEER_RECEIVE_BYTES)
             await self._serve(channel, first)
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             pass
@@ -238,11 +250,25 @@
     def parse_next(self) -> None:
         """Do nothing: frames wait for no turn."""
 
+    def narrow_window(self) -> None:
+        """Do nothing: the window is narrow until a frame is verified."""
+
     def close_for_limit(self) -> None:
         """Close the connection."""
         self._writer.transport.abort()
 
 
+def _limit_unverified(guard: CallerGuard | None) -> int:
+    """Return the bytes of frames that peers without a verified signature may send."""
+    if guard is None:
+        return UNVERIFIED_LIMIT_BYTES
+    # A frame is followed by its tag.
+    share = max(
+        MAX_FRAME_BYTES + TAG_BYTES, int(UNVERIFIED_SHARE * guard.held_limit_bytes)
+    )
+    return min(UNVERIFIED_LIMIT_BYTES, share)
+
+
 def _describe_detail(error: GeraniumbendError) -> str:
     if isinstance(error, errors.NotLeaderError):
         return error.leader
--- a/src/geraniumbend/adapters/_sockets.py
+++ b/src/geraniumbend/adapters/_sockets.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+import termios
 
 # Time after which the kernel closes a connection whose peer acknowledges nothing, in
 # seconds. TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their
@@ -11,6 +14,7 @@
 KEEPALIVE_IDLE_S = 3
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+COUNT = struct.Struct("i")
 
 
 def limit_silence(connected: socket.socket) -> None:
@@ -31,3 +35,17 @@
     connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in set_tcp.items():
         connected.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def set_receive_buffer(connected: socket.socket, size: int) -> None:
+    """Set the receive buffer of a socket, in bytes; the kernel doubles it."""
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
+def count_unread(descriptor: int) -> int | None:
+    """Return the bytes that have arrived at a socket unread, None if not known."""
+    try:
+        count = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(COUNT.size))
+    except OSError:
+        return None
+    return int(COUNT.unpack(count)[0])
--- a/src/geraniumbend/adapters/_tls_listener.py
+++ b/src/geraniumbend/adapters/_tls_listener.py
@@ -66,8 +66,7 @@
         Connections that the kernel completes before they are accepted.
     """
     if guard is not None:
-        # Accepted connections inherit it. What is not read waits at the caller.
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, guard.receive_bytes)
+        guard.add_listener(listener)
         if context is not None:
             return TlsListener(create_protocol, listener, context, guard, name)
     return await asyncio.get_running_loop().create_server(
@@ -164,6 +163,9 @@
     def parse_next(self) -> None:
         """Do nothing: handshakes wait for no turn."""
 
+    def narrow_window(self) -> None:
+        """Do nothing: the window of a handshake is narrow."""
+
     def close_for_limit(self) -> None:
         """End the handshake."""
         if self.task is not None:
--- a/src/geraniumbend/adapters/management_server.py
+++ b/src/geraniumbend/adapters/management_server.py
@@ -117,7 +117,7 @@
             access_log=None,
             keepalive_timeout=IDLE_TIMEOUT_S,
             lingering_time=LINGER_S,
-            read_bufsize=guard.receive_bytes if guard else READ_BUFFER_BYTES,
+            read_bufsize=guard.window_sizes.wide_bytes if guard else READ_BUFFER_BYTES,
         )
         self._guard = guard
         self._name = name
--- a/src/geraniumbend/adapters/operators_api.py
+++ b/src/geraniumbend/adapters/operators_api.py
@@ -128,6 +128,7 @@
         self._service = service
         self._control = control
         self._server: Any = None
+        self._guard = guard
         application = Sanic(
             f"operators-{next(_application_numbers)}", configure_logging=False
         )
@@ -149,6 +150,8 @@
             self._watching = certificates.watch(self._timers)
         # Sanic would replace port 0 by its default port 8000.
         listener = await open_listener(self._listen.host, self._listen.port)
+        if self._guard is not None:
+            self._guard.add_listener(listener)
         self._server = await self._application.create_server(
             sock=listener,
             ssl=None if certificates is None else certificates.context,
--- a/src/geraniumbend/caller_limits/__init__.py
+++ b/src/geraniumbend/caller_limits/__init__.py
@@ -1,4 +1,4 @@
-"""Decides which connections of callers stop being read, and which are closed."""
+"""Decides which connections of callers are read, with which window, or closed."""
 
 from __future__ import annotations
 
@@ -9,5 +9,19 @@
     Holding,
 )
 from geraniumbend.caller_limits._limits import choose_limits
+from geraniumbend.caller_limits._receive_windows import (
+    ReceiveWindows,
+    WindowSizes,
+    choose_windows,
+)
 
-__all__ = ["AccountLimits", "CallerAccount", "Closing", "Holding", "choose_limits"]
+__all__ = [
+    "AccountLimits",
+    "CallerAccount",
+    "Closing",
+    "Holding",
+    "ReceiveWindows",
+    "WindowSizes",
+    "choose_limits",
+    "choose_windows",
+]
--- a/src/geraniumbend/caller_limits/_account.py
+++ b/src/geraniumbend/caller_limits/_account.py
@@ -65,6 +65,8 @@
         Bytes held for unfinished work.
     moved : int
         Bytes that were passed on or delivered lately; halved with each tick.
+    received : int
+        Bytes that arrived lately; halved with each tick.
     moved_tick : int
         Tick at which bytes were last received, passed on or delivered.
     rank : int
@@ -84,6 +86,7 @@
         "moved_tick",
         "number",
         "rank",
+        "received",
         "slow_ticks",
         "source",
         "waits_for_caller",
@@ -95,6 +98,7 @@
         self.listener = listener
         self.held = 0
         self.moved = 0
+        self.received = 0
         self.moved_tick = 0
         self.rank = 0
         self.waits_for_caller = False
@@ -169,8 +173,13 @@
             holding.held = held
             self._note_total()
 
+    def note_received(self, holding: Holding, size: int) -> None:
+        """Note bytes that have arrived."""
+        holding.received += size
+        holding.moved_tick = self._ticks
+
     def note_progress(self, holding: Holding, size: int = 0) -> None:
-        """Note received bytes, and how many were passed on or delivered."""
+        """Note bytes that were passed on or delivered."""
         holding.moved += size
         holding.moved_tick = self._ticks
 
@@ -188,6 +197,7 @@
         self._full_ticks = self._full_ticks + 1 if self.is_full else 0
         for holding in self._holdings.values():
             holding.moved >>= 1
+            holding.received >>= 1
             is_slow = holding.waits_for_caller and holding.moved < SLOW_BYTES
             holding.slow_ticks = holding.slow_ticks + 1 if is_slow else 0
         if self._preferred is not None and not self._preferred.moved:
--- a/src/geraniumbend/caller_limits/_limits.py
+++ b/src/geraniumbend/caller_limits/_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from geraniumbend.caller_limits._account import AccountLimits
+from geraniumbend.caller_limits._receive_windows import limit_connections
 
 # Part of the descriptors that callers may have. The rest is for control hosts, peers,
 # backend servers and files.
@@ -24,8 +25,8 @@
     process_limit : int or None
         Descriptors that the system permits, None if it sets no limit.
     """
+    connections = limit_connections(held_bytes)
     known = [limit for limit in (descriptor_limit, process_limit) if limit]
-    connections = 0
     if known:
-        connections = max(MIN_CONNECTIONS, int(CALLER_SHARE * min(known)))
-    return AccountLimits(held_bytes, connections)
+        connections = min(connections, int(CALLER_SHARE * min(known)))
+    return AccountLimits(held_bytes, max(MIN_CONNECTIONS, connections))
