Bound what responses hold that callers do not read

Callers that pipeline requests for long responses and do not read them filled a gateway: the kernel kept up to 6 MB of each response, as much as its receive buffer grew to, and a response that waited behind an earlier one was not counted.

The receive buffer of a connection to a backend server is 64 KiB now, and its read buffer half of what it was. A response that waits for the caller or for an earlier one counts 320 KiB in the account, about what it holds then.

--- a/src/geraniumbend/adapters/_backend_protocol.py
+++ b/src/geraniumbend/adapters/_backend_protocol.py
@@ -21,7 +21,7 @@
 
     from aiohttp.streams import StreamReader
 
-READ_BUFFER_BYTES = 128 * 1024
+READ_BUFFER_BYTES = 64 * 1024
 MAX_RESPONSE_FIELD_BYTES = 32 * 1024
 MAX_RESPONSE_FIELDS = 256
 # Bytes that may arrive without a new message or a new byte of a body. The parser does
--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -83,6 +83,7 @@
         self._body: Any = EMPTY_PAYLOAD
         self._lingering = False
         self._pipelined: deque[_PipelinedRequest] = deque()
+        self._waiting_responses = 0
         self._opened_at = self._loop.time()
         self._has_received = False
 
@@ -147,6 +148,15 @@
         """Return the number of requests that are being handled."""
         return self.busy + len(self._pipelined)
 
+    def count_waiting_responses(self) -> int:
+        """Return the number of responses that wait behind an earlier one."""
+        return self._waiting_responses
+
+    def add_waiting_responses(self, count: int) -> None:
+        """Note that a response begins to wait for an earlier one, or ends to."""
+        self._waiting_responses += count
+        self.measure()
+
     async def start(self) -> None:
         """Serve the requests of the connection; responses keep their order."""
         try:
--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -192,6 +192,15 @@
         if self.turn is not None:
             await self.turn
 
+    async def _wait_turn_of_response(self) -> None:
+        if self.turn is None or self.turn.done():
+            return
+        self._protocol.add_waiting_responses(1)
+        try:
+            await self.turn
+        finally:
+            self._protocol.add_waiting_responses(-1)
+
     async def start_response(
         self, status: int, reason: str, lines: Iterable[bytes], length: int | None
     ) -> None:
@@ -209,7 +218,7 @@
         length : int or None
             Length of the body in bytes, None if unknown.
         """
-        await self.wait_turn()
+        await self._wait_turn_of_response()
         bodiless = self.method == "HEAD" or status in BODILESS_STATUSES
         framing = b""
         if length is not None:
--- a/src/geraniumbend/adapters/_generation.py
+++ b/src/geraniumbend/adapters/_generation.py
@@ -13,7 +13,7 @@
 from yarl import URL
 
 from geraniumbend.adapters._backend_protocol import BackendProtocol
-from geraniumbend.adapters._sockets import limit_silence
+from geraniumbend.adapters._sockets import limit_silence, set_receive_buffer
 
 if TYPE_CHECKING:
     import ssl
@@ -22,6 +22,10 @@
 
     from geraniumbend.timers import TimerService
 
+# Receive buffer of a connection to a backend server. What a response has beyond it
+# waits at the server while the caller reads slowly.
+RECEIVE_BYTES = 64 * 1024
+
 
 class IdleConnection(NamedTuple):
     """A connection without an open request.
@@ -188,4 +192,5 @@
     created.setblocking(False)
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     limit_silence(created)
+    set_receive_buffer(created, RECEIVE_BYTES)
     return created
--- a/src/geraniumbend/adapters/_guarded_handler.py
+++ b/src/geraniumbend/adapters/_guarded_handler.py
@@ -212,8 +212,7 @@
             held += body._size
         if self.transport is not None:
             held += self.transport.get_write_buffer_size()
-        if self._paused:
-            held += UNREAD_RESPONSE_BYTES
+        held += UNREAD_RESPONSE_BYTES * (self._paused + self.count_waiting_responses())
         is_unread = not body.is_eof() and not (body._size or self._unparsed)
         holding.waits_for_caller = self._paused or (is_unread and not self._held_back)
         holding.rank = 2 if started or self._messages else min(self._requests, 1)
@@ -230,6 +229,10 @@
         """Return the number of requests that are being handled."""
         return int(self._current_request is not None)
 
+    def count_waiting_responses(self) -> int:
+        """Return the number of responses that wait behind an earlier one."""
+        return 0
+
     def resume_writing(self) -> None:
         """Note that the caller has read."""
         super().resume_writing()
--- a/tests/crowds/test_unread_bytes.py
+++ b/tests/crowds/test_unread_bytes.py
@@ -36,6 +36,12 @@
     async def test_chunk_extension_without_end(self):
         await self.check_front(callers.send_chunk_extension)
 
+    async def test_pipelined_requests(self):
+        await self.check_front(callers.send_pipelined)
+
+    async def test_upgrade_to_another_protocol(self):
+        await self.check_front(callers.send_upgrade)
+
     async def test_http2(self):
         await self.check_front(callers.send_http2)
 
