Limit the bytes of header fields, not their number

A GET with 101 short fields (692 bytes, 16,384 are allowed) got 400 'Too many headers received', and so did 1,000 trailers. The parser's limit of 100 fields stood for the memory that fields take, which the account did not count.

The parser now takes as many fields as fit into the bytes that are allowed, and the account counts 256 bytes for each field of a head that is open or has not ended, also if it is not pipelined. Bytes behind a request to change protocols are dropped by callers' connections and counted by others. What a connection that the account closes had parsed is freed at once, its parser included.

Evidence: test_very_many_short_fields and test_very_many_trailers failed before.

--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -96,6 +96,9 @@
         """Parse bytes; start the header timeout if a head is incomplete."""
         self._has_received = True
         super().parse(data)
+        # Protocols are not changed: the connection ends with the response to a request
+        # that asks for it.
+        self._message_tail = b""
         if self._messages:
             if self.busy:
                 self._start_pipelined()
@@ -163,6 +166,9 @@
             while not (self._force_close or self._close):
                 if not (self._pipelined or self._messages):
                     await self._wait_for_message()
+                    if not self._messages:
+                        # The account has closed the connection meanwhile.
+                        break
                 self.busy = True
                 try:
                     keep = await self._serve_next()
@@ -248,6 +254,10 @@
             server.pipelined += 1
             self._consume_message()
 
+    def _drop_messages(self) -> None:
+        """Drop parsed requests that nobody handles; `start` looks for them again."""
+        self._messages.clear()
+
     async def _handle_ahead(self, request: HttpCallerRequest) -> None:
         """Handle a pipelined request; its task is only cancelled to end it."""
         try:
@@ -316,7 +326,7 @@
                         kind="internal",
                     )
                 )
-        self._lingering = not payload.is_eof()
+        self._lingering = self._upgraded or not payload.is_eof()
         return request.keep_alive and not self._lingering
 
     async def _linger(self) -> None:
--- a/src/geraniumbend/adapters/_guarded_handler.py
+++ b/src/geraniumbend/adapters/_guarded_handler.py
@@ -27,8 +27,7 @@
 # Memory of a connection with unfinished work, and of a parsed request.
 CONNECTION_BYTES = 8 * 1024
 MESSAGE_BYTES = 6 * 1024
-# Memory of one field of a pipelined request besides its bytes, which are kept as bytes
-# and as text.
+# Memory of one field of a head besides its bytes, which are kept as bytes and as text.
 FIELD_BYTES = 256
 # Parts of a body that wait at most; more are joined, since each takes more memory than
 # the bytes of a small chunk.
@@ -137,7 +136,7 @@
     def parse(self, data: bytes) -> None:
         """Pass bytes to the parser; count those of an unfinished head or trailer.
 
-        The parser keeps their fields: 100 of 16 KiB, or 128 of 8 KiB.
+        The parser keeps their fields, each of which takes more than its bytes.
         """
         body = self._last_body
         was_open = not body.is_eof()
@@ -158,7 +157,7 @@
                 self._progress = progress
                 return
         if progress == self._progress:
-            self._framing_bytes += len(data)
+            self._framing_bytes += len(data) + FIELD_BYTES * data.count(b"\n")
             return
         is_same = progress[0] == self._progress[0]
         # Bytes behind the end of a body may be those of the next head.
@@ -206,9 +205,10 @@
         assert guard is not None
         started = self.count_started()
         held = self._taken + len(self._unparsed) + self._framing_bytes
+        held += len(self._message_tail)
         held += MESSAGE_BYTES * (len(self._messages) + started)
         if self._heads_total:
-            held += self._count_waiting_heads(len(self._messages) + started)
+            held += self._count_heads(len(self._messages) + started)
         body = self._last_body
         if body is not EMPTY_PAYLOAD and (body._size or not body.is_eof()):
             held += body._size
@@ -266,6 +266,8 @@
             self.force_close()
         # Their memory is needed before the loop reports that the connection is lost.
         self._drop_messages()
+        self._message_tail = b""
+        self._parser = None
 
     def reset(self) -> None:
         """Reset the connection so that a response looks truncated.
@@ -349,25 +351,24 @@
         """Note the heads of the messages that were parsed last."""
         if not count:
             return
-        if len(self._messages) == count == 1 and not self.count_started():
-            # Not pipelined: counted with `MESSAGE_BYTES` alone.
+        is_alone = len(self._messages) == count == 1 and not self.count_started()
+        if is_alone:
             self._heads.clear()
-            self._heads.append(0)
             self._heads_total = 0
-            return
         for message, _ in islice(self._messages, len(self._messages) - count, None):
-            fields = getattr(message, "raw_headers", ())
-            size = sum(len(name) + len(value) for name, value in fields)
-            size = 2 * size + FIELD_BYTES * len(fields)
+            size = _measure_head(message)
+            if is_alone:
+                # Most heads are within what each request counts.
+                size = max(0, size - MESSAGE_BYTES)
             self._heads.append(size)
             self._heads_total += size
 
-    def _count_waiting_heads(self, count: int) -> int:
-        """Return the memory of the heads of all open requests but the first."""
+    def _count_heads(self, count: int) -> int:
+        """Return the memory of the heads of all open requests."""
         heads = self._heads
         while len(heads) > count:
             self._heads_total -= heads.popleft()
-        return self._heads_total - heads[0] if heads else 0
+        return self._heads_total
 
     def _note_moved(self, size: int) -> None:
         if self._holding is not None:
@@ -382,10 +383,8 @@
             self._guard.close(holding)
 
 
-def _join_parts(body: Any) -> None:
-    """Join the parts of a body that wait, and forget where its chunks end."""
-    joined = b"".join(body._buffer)[body._buffer_offset :]
-    body._buffer.clear()
-    body._buffer.append(joined)
-    body._buffer_offset = 0
-    body._http_chunk_splits.clear()
+def _measure_head(message: Any) -> int:
+    """Return the memory of the fields of a parsed request."""
+    fields = getattr(message, "raw_headers", ())
+    size = sum(len(name) + len(value) for name, value in fields)
+    return 2 * size + FIELD_BYTES * len(fields)
--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -29,7 +29,9 @@
     Handler = Callable[[HttpCallerRequest], Awaitable[None]]
 
 BACKLOG = 1024
-MAX_FIELDS = 100
+# Bytes of the shortest field: a name, a colon and the end of the line. The parser also
+# limits the number of fields; only their bytes count for callers.
+MIN_FIELD_BYTES = 4
 IDLE_TIMEOUT_S = 75.0
 POLL_PERIOD_S = 0.02
 # Interval and longest wait in seconds for the backlog to be empty in a stop.
@@ -105,7 +107,7 @@
             auto_decompress=False,
             max_line_size=limits.header_limit_bytes,
             max_field_size=limits.header_limit_bytes,
-            max_headers=MAX_FIELDS,
+            max_headers=limits.header_limit_bytes // MIN_FIELD_BYTES,
             read_bufsize=guard.window_sizes.wide_bytes if guard else READ_BUFFER_BYTES,
         )
         self.handler = handler
