Refuse callers inside the limits that a full account gives up

Causes: the account counted up to 1 MiB of each body as kept, also of bodies that are passed on as they arrive; and a connection that it gave up was reset, whatever its request.

Bodies that are passed on count with their last part only. A request that was not sent to a server or another gateway is refused with 503 and Retry-After (kind held_bytes), which promises that it has not run; what it holds is freed at once, and the caller has a second to read the response. Orders are not refused in this way, since they go on without their caller.

--- a/src/geraniumbend/adapters/_caller_guard.py
+++ b/src/geraniumbend/adapters/_caller_guard.py
@@ -135,6 +135,14 @@
         self._apply()
         return holding
 
+    def reopen(
+        self, connection: GuardedConnection, source: str, listener: str
+    ) -> Holding:
+        """Return a new holding of a connection that gave up its request."""
+        holding = self.account.open(source, listener)
+        self._connections[holding] = connection
+        return holding
+
     def close(self, holding: Holding) -> None:
         """Forget a connection."""
         self._connections.pop(holding, None)
--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -42,6 +42,10 @@
 # that pipelines fills the queues for servers with requests that wait for each other.
 MAX_PIPELINED_TOGETHER = 64
 
+# Retry-After in seconds of a request that is given up because the account is full,
+# which closes connections that stand still within a second.
+HELD_RETRY_S = 1.0
+
 declare_event(
     201, "request_handler_failed", "error", "Handling a request raised an exception."
 )
@@ -84,6 +88,9 @@
         self._lingering = False
         self._pipelined: deque[_PipelinedRequest] = deque()
         self._waiting_responses = 0
+        # The request that the connection's task handles, and whether it is given up.
+        self._request: HttpCallerRequest | None = None
+        self._is_given_up = False
         self._opened_at = self._loop.time()
         self._has_received = False
 
@@ -151,6 +158,22 @@
         """Return the number of requests that are being handled."""
         return self.busy + len(self._pipelined)
 
+    def close_for_limit(self) -> None:
+        """Refuse the open request if nothing of it was sent, else close."""
+        request = self._request
+        is_waiting = request is not None and not (
+            request.is_sent or request.response_started or self._is_given_up
+        )
+        if not is_waiting or self._pipelined or not self.writable:
+            super().close_for_limit()
+            return
+        self._is_given_up = True
+        self.free_held()
+        # `_finish` responds; the connection ends once its caller has had time to read.
+        task = self._task_handler
+        assert task is not None
+        task.cancel()
+
     def count_waiting_responses(self) -> int:
         """Return the number of responses that wait behind an earlier one."""
         return self._waiting_responses
@@ -299,7 +322,11 @@
             self._lingering = True
             return False
         self._start_pipelined()
-        return await self._finish(request, payload, self.server.handler(request))
+        self._request = request
+        try:
+            return await self._finish(request, payload, self.server.handler(request))
+        finally:
+            self._request = None
 
     async def _finish(
         self, request: HttpCallerRequest, payload: Any, task: Awaitable[None]
@@ -313,6 +340,14 @@
                 request.refuse(error)
         except (CallerLostError, ConnectionError):
             request.abort()
+        except asyncio.CancelledError:
+            if not self._is_given_up:
+                raise
+            current = asyncio.current_task()
+            assert current is not None
+            current.uncancel()
+            request.keep_alive = False
+            request.refuse(_refuse_for_limit())
         except Exception as error:
             log_event(201, error=repr(error), target=request.target)
             if request.response_started:
@@ -394,6 +429,15 @@
         task.exception()
 
 
+def _refuse_for_limit() -> RefusedError:
+    return RefusedError(
+        "the gateway holds too much for unfinished requests",
+        "retry after the stated delay",
+        kind="held_bytes",
+        retry_after_s=HELD_RETRY_S,
+    )
+
+
 def _explain_parser_error(error: _ErrInfo) -> RefusedError:
     status = 431 if isinstance(error.exc, LineTooLong) else error.status
     reason = error.message.strip().partition("\n")[0]
--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -27,8 +27,6 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BODILESS_STATUSES = (204, 304)
-# Start of a body that may be kept until the response; the rest is passed on.
-MAX_KEPT_BYTES = 1024 * 1024
 
 
 class HttpCallerRequest:
@@ -57,6 +55,8 @@
         "has_body",
         "headers",
         "is_forwarded",
+        "is_sent",
+        "is_streamed",
         "keep_alive",
         "method",
         "path",
@@ -86,6 +86,10 @@
         self.response_started = False
         # Whether another gateway forwards the request.
         self.is_forwarded = False
+        # Whether the body is passed on as it is read, and whether the request may have
+        # left this gateway.
+        self.is_streamed = False
+        self.is_sent = False
         # Only for pipelined requests: done when the earlier responses are written.
         self.turn: asyncio.Future[None] | None = None
         peer = protocol.peername
@@ -155,10 +159,10 @@
         data = await self._read_part()
         size = len(data)
         self._body_bytes += size
-        if self._body_bytes <= MAX_KEPT_BYTES:
-            self._protocol.note_taken(size)
+        if self.is_streamed:
+            self._protocol.note_streamed(size)
         else:
-            self._protocol.note_passed_on(size)
+            self._protocol.note_taken(size)
         body_limit = self._protocol.server.limits.body_limit_bytes
         if body_limit and self._body_bytes > body_limit:
             raise _refuse(413, "the body exceeds the limit")
--- a/src/geraniumbend/adapters/_guarded_handler.py
+++ b/src/geraniumbend/adapters/_guarded_handler.py
@@ -61,6 +61,7 @@
         super().__init__(server, **options)
         self._guard = guard
         self._listener = listener
+        self._source = ""
         self._holding: Holding | None = None
         self._unparsed = b""
         self._has_turn = False
@@ -85,8 +86,8 @@
         super().connection_made(transport)
         if self._guard is not None:
             peer = self.peername
-            source = peer[0] if isinstance(peer, tuple) else ""
-            self._holding = self._guard.open(self, source, self._listener)
+            self._source = peer[0] if isinstance(peer, tuple) else ""
+            self._holding = self._guard.open(self, self._source, self._listener)
             connected = transport.get_extra_info("socket")
             if connected is not None:
                 self._window = ConnectionWindow(self._guard, self._holding, connected)
@@ -96,17 +97,14 @@
         self._unparsed = b""
         super().connection_lost(exc)
         self._forget()
-        body, self._last_body = self._last_body, EMPTY_PAYLOAD
-        if not body.is_eof():
-            # Otherwise the bytes of callers that leave wait for the garbage collector.
-            body._buffer.clear()
-            body._size = body._buffer_offset = 0
-            body._http_chunk_splits = None
+        self._free_body()
         self._drop_messages()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, or the first slice of them."""
         holding = self._holding
+        if self._close or self._force_close:
+            return
         if holding is None or not data:
             self.parse(data)
             self._note_body()
@@ -186,6 +184,11 @@
         self._taken += size
         self._note_moved(size)
 
+    def note_streamed(self, size: int) -> None:
+        """Note bytes of a body that are kept until the next ones are read."""
+        self._taken = size
+        self._note_moved(size)
+
     def note_passed_on(self, size: int) -> None:
         """Note bytes of a body that are not kept any more."""
         self._note_moved(size)
@@ -269,6 +272,30 @@
         self._message_tail = b""
         self._parser = None
 
+    def free_held(self) -> None:
+        """Give back what is held for a request that is given up; read no further one.
+
+        The connection stays open until its caller has had time to read the response,
+        as one without a request.
+        """
+        assert self._guard is not None
+        self._close = True
+        self._held_back = False
+        self._unparsed = b""
+        self._free_body()
+        self._drop_messages()
+        # It is read from now on, so its window does not matter.
+        self._window = None
+        self._holding = self._guard.reopen(self, self._source, self._listener)
+
+    def _free_body(self) -> None:
+        body, self._last_body = self._last_body, EMPTY_PAYLOAD
+        if not body.is_eof():
+            # Otherwise the bytes of callers that leave wait for the garbage collector.
+            body._buffer.clear()
+            body._size = body._buffer_offset = 0
+            body._http_chunk_splits = None
+
     def reset(self) -> None:
         """Reset the connection so that a response looks truncated.
 
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -420,6 +420,7 @@
             self.finish(attempt, context)
             raise
         context.unresolved_attempts += 1
+        context.request.is_sent = True
         try:
             gate = SendGate(
                 attempt,
--- a/src/geraniumbend/proxying/_context.py
+++ b/src/geraniumbend/proxying/_context.py
@@ -203,6 +203,7 @@
             )
         else:
             self.source = PrefixedBody(b"".join(parts), request)
+            request.is_streamed = True
         self.fingerprint = self._fingerprint(b"".join(parts))
 
     def build_request(
--- a/src/geraniumbend/proxying/_peer_forwarder.py
+++ b/src/geraniumbend/proxying/_peer_forwarder.py
@@ -203,6 +203,7 @@
         context.unresolved_attempts += 1
         self._in_flight[peer.name] = self._in_flight.get(peer.name, 0) + 1
         try:
+            context.request.is_sent = True
             response = await self._upstream.send(session.server, request)
         finally:
             self._in_flight[peer.name] -= 1
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -184,7 +184,15 @@
 
 
 class CallerRequest(BodySource, Protocol):
-    """A caller's request and the means to respond to it."""
+    """A caller's request and the means to respond to it.
+
+    Attributes
+    ----------
+    is_streamed : bool
+        Whether the bytes of the body are passed on as they are read, and not kept.
+    is_sent : bool
+        Whether the request may have left this gateway.
+    """
 
     method: str
     path: str
@@ -198,6 +206,8 @@
     response_started: bool
     request_id: str
     is_forwarded: bool
+    is_streamed: bool
+    is_sent: bool
 
     async def wait_turn(self) -> None:
         """Wait for the responses to earlier pipelined requests of the connection."""
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -460,6 +460,8 @@
     ) -> int:
         caller = context.tenant or self._identify_caller(context)
         if context.rule.order is not None:
+            # It goes on after its caller has left.
+            context.request.is_sent = True
 
             async def fetch(
                 context: RequestContext, read_response: ReadResponse
--- a/tests/adapters/test_caller_guard.py
+++ b/tests/adapters/test_caller_guard.py
@@ -295,3 +295,30 @@
             pieces = [b"%x\r\n%b\r\n" % (size, part) * 400] * 25
             framing = b"Transfer-Encoding: chunked\r\n"
             await self.check_body(framing, [*pieces, b"0\r\n\r\n"], part * 10_000)
+
+    async def test_requests_that_were_not_sent_are_refused_when_the_account_is_full(
+        self,
+    ):
+        """Guards against callers inside the limits whose connections are reset."""
+        guard = self.create_guard(TINY_BYTES)
+        async with ScriptedBackend(digest) as backend:
+            path = await self.enter_path(backend, guard)
+            head = HEAD % (b"POST", b"Content-Length: 60000\r\n")
+            connections = [await path.connect() for _ in range(30)]
+            for _, writer in connections:
+                writer.write(head + b"x" * 50_000)
+                await writer.drain()
+            await asyncio.sleep(0.5)
+            for _, writer in connections:
+                writer.write(b"x" * 10_000)
+            statuses = []
+            for reader, writer in connections:
+                async with asyncio.timeout(30):
+                    raw = await reader.readuntil(b"\r\n\r\n")
+                status, fields, _ = parse(raw)
+                statuses.append(status)
+                if status == 503:
+                    self.assertIn("retry-after", fields)
+                writer.close()
+            self.assertEqual(set(statuses), {200, 503})
+            self.assertEqual(len(backend.received), statuses.count(200))
--- a/tests/crowds/test_legal_requests.py
+++ b/tests/crowds/test_legal_requests.py
@@ -10,6 +10,11 @@
 ANSWER_TIMEOUT_S = 60.0
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Callers that upload at the same time, what each sends, and how fast.
+UPLOADERS = 60
+UPLOAD_BYTES = 512 * 1024
+PIECE_BYTES = 16 * 1024
+PIECE_PAUSE_S = 0.25
 
 
 async def read_status(reader):
@@ -32,15 +37,19 @@
         """Send one request on a connection of its own and return its status."""
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(*self.hosts.front)
+            # A response may come before the end of the body.
+            reading = asyncio.ensure_future(read_status(reader))
             try:
                 for piece in pieces:
+                    if reading.done():
+                        break
                     writer.write(piece)
                     await writer.drain()
                     if pause_s:
                         await asyncio.sleep(pause_s)
             except OSError:
                 pass
-            status = await read_status(reader)
+            status = await reading
             writer.close()
             return status
 
@@ -76,3 +85,20 @@
         head = callers.write_head(b"POST", b"/q/x", b"Transfer-Encoding: chunked")
         pieces = [(b"400\r\n" + b"x" * 1024 + b"\r\n") * 64] * 256
         self.assertEqual(await self.request(head, *pieces, b"0\r\n\r\n"), 200)
+
+    async def test_uploads_at_the_same_time_are_answered(self):
+        """Guards against resets of callers inside the limits that upload slowly.
+
+        Each of them is served, or refused with a promise that nothing has run.
+        """
+        length = b"Content-Length: %d" % UPLOAD_BYTES
+        head = callers.write_head(b"POST", b"/q/x", length)
+        pieces = [b"x" * PIECE_BYTES] * (UPLOAD_BYTES // PIECE_BYTES)
+        statuses = await asyncio.gather(
+            *(
+                self.request(head, *pieces, pause_s=PIECE_PAUSE_S)
+                for _ in range(UPLOADERS)
+            )
+        )
+        self.assertLessEqual(set(statuses), {200, 503}, statuses)
+        await self.check()
