End a connection whose caller left before its refusal quietly

Event 908 (exception_not_handled, CallerLostError from CallerProtocol.start) was logged ten times when 240 callers that pipeline requests left: the refusal of a request raised when its connection was closed, outside of the place that handles lost callers. A refusal to a caller that has left is now dropped.

--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 from collections import deque
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from aiohttp.client_exceptions import ClientError
@@ -318,7 +319,7 @@
             request.check()
         except RefusedError as error:
             request.keep_alive = False
-            request.refuse(error)
+            _refuse(request, error)
             self._lingering = True
             return False
         self._start_pipelined()
@@ -337,7 +338,7 @@
             if request.response_started:
                 request.abort()
             else:
-                request.refuse(error)
+                _refuse(request, error)
         except (CallerLostError, ConnectionError):
             request.abort()
         except asyncio.CancelledError:
@@ -347,20 +348,19 @@
             assert current is not None
             current.uncancel()
             request.keep_alive = False
-            request.refuse(_refuse_for_limit())
+            _refuse(request, _build_held_refusal())
         except Exception as error:
             log_event(201, error=repr(error), target=request.target)
             if request.response_started:
                 request.abort()
             else:
-                request.refuse(
-                    RefusedError(
-                        "the gateway failed with an internal error",
-                        run="unknown",
-                        status=500,
-                        kind="internal",
-                    )
+                refusal = RefusedError(
+                    "the gateway failed with an internal error",
+                    run="unknown",
+                    status=500,
+                    kind="internal",
                 )
+                _refuse(request, refusal)
         self._lingering = self._upgraded or not payload.is_eof()
         return request.keep_alive and not self._lingering
 
@@ -429,7 +429,13 @@
         task.exception()
 
 
-def _refuse_for_limit() -> RefusedError:
+def _refuse(request: HttpCallerRequest, error: RefusedError) -> None:
+    """Respond with a refusal, unless the caller has left."""
+    with suppress(CallerLostError):
+        request.refuse(error)
+
+
+def _build_held_refusal() -> RefusedError:
     return RefusedError(
         "the gateway holds too much for unfinished requests",
         "retry after the stated delay",
