Give back the admission while a response waits for its turn

Beside 240 connections with pipelined requests whose responses are not read, an ordinary request got 504 after its whole deadline of 5 s. Responses to pipelined requests that wait for earlier ones of their connection kept the admission of their requests, up to 20 s, so that ten such requests stopped a group with six slots.

The admission of a request whose response waits behind another one is given back. The router goes on counting the request at its server until the response is read.

--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -196,9 +196,14 @@
         if self.turn is not None:
             await self.turn
 
+    def is_behind(self) -> bool:
+        """Return whether earlier responses of the connection are not written yet."""
+        return self.turn is not None and not self.turn.done()
+
     async def _wait_turn_of_response(self) -> None:
-        if self.turn is None or self.turn.done():
+        if not self.is_behind():
             return
+        assert self.turn is not None
         self._protocol.add_waiting_responses(1)
         try:
             await self.turn
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -213,6 +213,10 @@
         """Wait for the responses to earlier pipelined requests of the connection."""
         ...
 
+    def is_behind(self) -> bool:
+        """Return whether earlier responses of the connection are not written yet."""
+        ...
+
     async def start_response(
         self, status: int, reason: str, lines: Iterable[bytes], length: int | None
     ) -> None:
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -549,6 +549,11 @@
             attempt = await self._attempts.fetch(context)
             assert attempt.response is not None
             status = attempt.response.status
+            if context.request.is_behind():
+                # The response waits for the caller to read earlier ones, perhaps for
+                # long; others may be served meanwhile.
+                latency_s = timers.now() - started_s
+                ticket.release(Outcome(status, latency_s, 0.0, False))
             return await consume(context, attempt)
         finally:
             latency_s = timers.now() - started_s
