Share a caller's part of a group between its connections

Cause: what a caller asks for is added up by its address, which a balancer gives to all callers alike. All of them were cut back by the same excess, and it outlasted the connections that had asked.

A caller above its share is now cut back by connection: those that ask for as much as the others by its excess as before, those that ask for little not at all, in the order of their ranks. A connection that ends takes along what it asked for. Connections without a number (none known) behave as before.

--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -83,6 +83,7 @@
         super().__init__(server, server.guard, server.name, **options)
         self.server = server
         self.busy = False
+        self.number = server.count_connection()
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._body: Any = EMPTY_PAYLOAD
@@ -134,6 +135,7 @@
         """End the connection's task."""
         self._reset_head_limits()
         super().connection_lost(exc)
+        self.server.note_closed(self.number)
 
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is open, queued or unread."""
--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -52,6 +52,7 @@
         "_protocol",
         "_remaining",
         "body_length",
+        "connection",
         "has_body",
         "headers",
         "is_forwarded",
@@ -90,6 +91,7 @@
         # left this gateway.
         self.is_streamed = False
         self.is_sent = False
+        self.connection = protocol.number
         # Only for pipelined requests: done when the earlier responses are written.
         self.turn: asyncio.Future[None] | None = None
         peer = protocol.peername
--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import select
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -42,6 +43,8 @@
 MAX_BACKLOG_STEP_S = 0.05
 READ_BUFFER_BYTES = 128 * 1024
 
+_connection_numbers = itertools.count(1)
+
 declare_event(
     203,
     "requests_cut_off",
@@ -118,6 +121,11 @@
         self.draining = False
         # Pipelined requests that are handled before their turn, of all connections.
         self.pipelined = 0
+        self.note_closed: Callable[[int], object] = _ignore
+
+    def count_connection(self) -> int:
+        """Return the number of a new connection, different for all of the process."""
+        return next(_connection_numbers)
 
     def __call__(self) -> CallerProtocol:
         """Return the protocol of a new connection."""
@@ -181,6 +189,10 @@
         )
         return cls(handler, settings.caller, limits, dialect, guard=guard)
 
+    def observe_closed(self, note_closed: Callable[[int], object]) -> None:
+        """Call a function with the number of each connection that has ended."""
+        self._server.note_closed = note_closed
+
     def in_flight(self) -> int:
         """Return the number of requests in flight, at most one per connection."""
         return sum(protocol.busy for protocol in self._protocols())
@@ -277,3 +289,7 @@
 
     def _protocols(self) -> list[Any]:
         return self._server.connections
+
+
+def _ignore(number: int) -> None:
+    """Do nothing when a connection has ended."""
--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -34,6 +34,8 @@
 # queued last. Few callers share the capacity equally.
 MAX_CALLER_SHARE = 0.0625
 RETRY_AFTER_S = 2.0
+# Identities of callers that are remembered of one connection, until it ends.
+MAX_REMEMBERED_CALLERS = 8
 # The level is infinite while there is no demand, which JSON cannot express.
 MAX_LOGGED_LEVEL = 1000.0
 # Requests of a class that must have been measured before the threshold may refuse
@@ -88,6 +90,8 @@
         Name of the caller's tenant; empty without one.
     objective_s : float, default=0.0
         Time within which the response should be complete, in seconds.
+    connection : int, default=0
+        Number of the caller's connection; 0 if it is not known.
     """
 
     group: str
@@ -98,6 +102,7 @@
     rank: int = 0
     tenant: str = ""
     objective_s: float = 0.0
+    connection: int = 0
 
 
 class Ticket:
@@ -179,6 +184,8 @@
         self._queue_limit = queue_limit
         self._sheet_decisions = SheetDecisionCache()
         self._pools: dict[tuple[str, bool], _PoolState] = {}
+        # Pools that open connections asked for requests of, with their callers.
+        self._connections: dict[int, set[tuple[_PoolState, str]]] = {}
         self._random = random.Random(seed)
         self._sweep_timer: Subscription | None = None
         self._ranking: Ranking | None = None
@@ -250,6 +257,19 @@
             for pool in self._pools.values()
         }
 
+    def forget_connection(self, connection: int) -> None:
+        """Forget what a caller's connection that has ended asked for."""
+        now = self._timers.now()
+        for pool, caller in self._connections.pop(connection, ()):
+            pool.callers.forget_connection(caller, connection, now)
+
+    def _note_connection(self, pool: _PoolState, request: AdmissionRequest) -> None:
+        if not request.connection:
+            return
+        asked = self._connections.setdefault(request.connection, set())
+        if len(asked) < MAX_REMEMBERED_CALLERS:
+            asked.add((pool, request.caller))
+
     def _find_pool(self, request: AdmissionRequest) -> _PoolState:
         long = self._table.costs.is_long(request.group, request.request_class)
         pool = self._pools.get((request.group, long))
@@ -272,14 +292,17 @@
         slots = pool.slots
         threshold = pool.threshold.value_for(request.sheet)
         caller_limit = pool.caller_share * max(slots, 1e-9)
-        offered, counted_s = pool.callers.record(
-            request.caller, service_s, caller_limit, now
+        offered = pool.callers.record(
+            request.caller, service_s, caller_limit, now, request.connection
         )
+        self._note_connection(pool, request)
         self._shares.record_demand(request.group, service_s)
-        pool.threshold.demand.record(counted_s, now)
+        pool.threshold.demand.record(offered.counted_s, now)
         sheet = request.sheet
         rank = shedding_rank(sheet) if sheet else self._random.random()
-        rank *= max(1.0, offered / caller_limit)
+        excess = offered.rate / caller_limit
+        if excess > 1:
+            rank *= _weigh_connection(excess, offered.connection_share)
         cost = self._table.costs.cost(request.group, request.request_class)
         if cost is None or cost.count < MIN_COST_SAMPLES:
             return rank
@@ -291,7 +314,8 @@
             raise self._refuse(pool, "demand exceeds the capacity of the group")
         max_queued = max(8, int(self._queue_limit * MAX_CALLER_SHARE))
         exceeds_queue_share = pool.queue.count_caller(request.caller) >= max_queued
-        return rank + 1 if exceeds_queue_share else rank
+        asks_for_little = excess > 1 and offered.connection_share < 1
+        return rank + 1 if exceeds_queue_share and not asks_for_little else rank
 
     def _decide_by_rank(
         self,
@@ -452,3 +476,20 @@
             retry_after_s=retry_after_s,
             inputs=pool.list_inputs(self._timers.now()),
         )
+
+
+def _weigh_connection(excess: float, share: float) -> float:
+    """Return the factor of the ranks of one connection of a caller above its share.
+
+    Connections that ask for as much as the others of the caller are cut back by its
+    excess, and those that ask for more by more. Those that ask for little keep their
+    ranks or get lower ones, so that callers behind one address are not cut back alike.
+
+    Parameters
+    ----------
+    excess : float
+        Offered work of the caller as a multiple of its share, above 1.
+    share : float
+        Offered work of the connection as a multiple of an equal part of the caller's.
+    """
+    return float(share * excess ** min(1.0, share))
--- a/src/geraniumbend/admission/_demand.py
+++ b/src/geraniumbend/admission/_demand.py
@@ -6,6 +6,8 @@
 from collections import deque
 from typing import NamedTuple
 
+from geraniumbend.admission._connection_demand import ConnectionDemand
+
 BIN_S = 0.1
 LONG_WINDOW_BINS = 50
 SHORT_WINDOW_BINS = 4
@@ -89,12 +91,33 @@
         return short_mean / BIN_S, short_deviation / BIN_S
 
 
+class OfferedWork(NamedTuple):
+    """Work that a caller and one of its connections offer.
+
+    Parameters
+    ----------
+    rate : float
+        Offered work of the caller, in seconds per second.
+    counted_s : float
+        Part of the work of the request that counts in the demand of the group, in
+        seconds.
+    connection_share : float
+        Offered work of the connection, as a multiple of an equal share of that of all
+        active connections of the caller; below 1 for those that ask for little.
+    """
+
+    rate: float
+    counted_s: float
+    connection_share: float
+
+
 class _CallerState:
     """Decaying rate and token bucket of one caller."""
 
-    __slots__ = ("rate", "tokens_s", "updated")
+    __slots__ = ("connections", "rate", "tokens_s", "updated")
 
     def __init__(self, tokens_s: float, updated: float) -> None:
+        self.connections = ConnectionDemand(CALLER_DECAY_S)
         self.rate = 0.0
         self.tokens_s = tokens_s
         self.updated = updated
@@ -110,8 +133,13 @@
         self._callers: dict[str, _CallerState] = {}
 
     def record(
-        self, caller: str, work_s: float, rate_limit: float, now: float
-    ) -> tuple[float, float]:
+        self,
+        caller: str,
+        work_s: float,
+        rate_limit: float,
+        now: float,
+        connection: int = 0,
+    ) -> OfferedWork:
         """Record work of a caller.
 
         Parameters
@@ -126,13 +154,13 @@
             other callers.
         now : float
             Current time, in seconds.
+        connection : int, default=0
+            Number of the caller's connection; 0 if it is not known.
 
         Returns
         -------
-        rate : float
-            Offered work of the caller, in seconds per second.
-        counted_s : float
-            Part of the work that counts in the demand of the group, in seconds.
+        OfferedWork
+            Work that the caller and the connection offer.
         """
         capacity_s = max(rate_limit, BURST_REQUESTS * work_s)
         state = self._callers.get(caller)
@@ -147,7 +175,22 @@
         state.updated = now
         counted_s = min(work_s, state.tokens_s)
         state.tokens_s -= counted_s
-        return state.rate, counted_s
+        connection_rate = state.connections.record(connection, work_s, now)
+        share = 1.0
+        if state.rate > 0:
+            share = connection_rate * len(state.connections) / state.rate
+        return OfferedWork(state.rate, counted_s, share)
+
+    def forget_connection(self, caller: str, connection: int, now: float) -> None:
+        """Forget what a connection that has ended asked for."""
+        state = self._callers.get(caller)
+        if state is None:
+            return
+        ended_rate = state.connections.forget(connection, now)
+        elapsed_s = max(0.0, now - state.updated)
+        rate = state.rate * math.exp(-elapsed_s / CALLER_DECAY_S)
+        state.rate = max(0.0, rate - ended_rate)
+        state.updated = max(state.updated, now)
 
     def count_active(self, now: float) -> int:
         """Return the number of callers with a request in the last `CALLER_DECAY_S`."""
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -192,6 +192,8 @@
         Whether the bytes of the body are passed on as they are read, and not kept.
     is_sent : bool
         Whether the request may have left this gateway.
+    connection : int
+        Number of the caller's connection.
     """
 
     method: str
@@ -208,6 +210,7 @@
     is_forwarded: bool
     is_streamed: bool
     is_sent: bool
+    connection: int
 
     async def wait_turn(self) -> None:
         """Wait for the responses to earlier pipelined requests of the connection."""
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -541,6 +541,7 @@
                 context.importance,
                 context.tenant,
                 rule.objective_s,
+                context.request.connection,
             )
         )
         started_s = timers.now()
--- a/src/geraniumbend/roles/_gateway.py
+++ b/src/geraniumbend/roles/_gateway.py
@@ -250,6 +250,8 @@
             self._guard,
             "forwarded",
         )
+        for listener in (self._caller_listener, self._forward_listener):
+            listener.observe_closed(self._admission.forget_connection)
         self._announce_listener = AnnounceListener(
             gateway.announce,
             self,
