Bound how many backend servers are known

Announcements with ever new ids, which need no key, take about 4 kB each at a control host and 1 kB at a gateway: 30,000 of them took a control host of 96 MB to 154 MB, and the gateway to 78 MB.

New servers, and departures of servers that are not known, are refused with 503 while peer.server_limit records are known (default 20,000; on the platform a quarter of the memory at 4,200 bytes each: 17,619 at 296 MB, 11,904 at 200 MB). Servers that are known renew their leases, change and leave as before. Records of peers are merged without this limit, so that all processes keep the same ones.

--- a/src/geraniumbend/_settings.py
+++ b/src/geraniumbend/_settings.py
@@ -103,6 +103,14 @@
         Positive,
         Meta(description="Lease of servers that announce themselves without one."),
     ] = 10.0
+    server_limit: Annotated[
+        int,
+        Meta(
+            ge=1,
+            description="Backend servers that are known at most, with those that left "
+            "lately; announcements of further ones are refused.",
+        ),
+    ] = 20_000
 
 
 class GatewaySettings(_Table, frozen=True):
--- a/src/geraniumbend/host_sizes.py
+++ b/src/geraniumbend/host_sizes.py
@@ -6,6 +6,10 @@
 
 # Part of a host's memory that is held for unfinished requests at most.
 HELD_SHARE = 0.2
+# Part of a host's memory for what is known of backend servers, and what a process keeps
+# of each one, in bytes.
+SERVERS_SHARE = 0.25
+SERVER_BYTES = 4200
 # Part of the link that a control host may use for gossip. Control hosts carry no
 # requests, and they send the full state to all others when a whole cluster starts.
 CONTROL_LINK_SHARE = 0.02
@@ -21,6 +25,12 @@
     return int(HELD_SHARE * memory_bytes) or NodeSettings("").held_limit_bytes
 
 
+def compute_server_limit(memory_bytes: float) -> int:
+    """Return ``peer.server_limit`` for a host; the default if 0 bytes are known."""
+    limit = int(SERVERS_SHARE * memory_bytes) // SERVER_BYTES
+    return limit or PeerSettings().server_limit
+
+
 def compute_gossip_rate(link_bytes_per_s: float) -> int:
     """Return ``peer.bytes_per_second`` for a control host with a link."""
     default = PeerSettings().bytes_per_second
--- a/src/geraniumbend/membership/_membership.py
+++ b/src/geraniumbend/membership/_membership.py
@@ -82,6 +82,8 @@
         Byte budget for messages to peers.
     incarnation : int
         First incarnation; exceeds that of any earlier process of this name.
+    server_limit : int
+        Backend servers that this node adds to the records at most.
     """
 
     name: str
@@ -91,6 +93,7 @@
     seeds: tuple[str, ...] = ()
     bytes_per_second: float = 18_000.0
     incarnation: int = 1
+    server_limit: int = 20_000
 
 
 class Membership:
@@ -144,7 +147,12 @@
         )
         self._eligible_servers = EligibleServers(timers)
         self._server_directory = ServerDirectory(
-            self._members, self._table, self._gossip, self._eligible_servers, timers
+            self._members,
+            self._table,
+            self._gossip,
+            self._eligible_servers,
+            timers,
+            options.server_limit,
         )
         self._published_records = PublishedRecords(
             self._members, self._table, self._gossip, options.bytes_per_second, timers
@@ -247,6 +255,7 @@
             seeds=tuple(peer.seeds),
             bytes_per_second=peer.bytes_per_second,
             incarnation=boot // 1_000_000,
+            server_limit=peer.server_limit,
         )
         return cls(options, port, clients, timers, count_bytes=count_bytes)
 
--- a/src/geraniumbend/membership/_records.py
+++ b/src/geraniumbend/membership/_records.py
@@ -142,6 +142,10 @@
         """Return the entries of one kind."""
         return list(self._kinds.get(kind, {}).values())
 
+    def count(self, kind: str) -> int:
+        """Return the number of entries of one kind, tombstones included."""
+        return len(self._kinds.get(kind, ()))
+
     def __len__(self) -> int:
         """Return the number of records, tombstones included."""
         return len(self._entries)
--- a/src/geraniumbend/membership/_server_directory.py
+++ b/src/geraniumbend/membership/_server_directory.py
@@ -5,7 +5,7 @@
 import struct
 from typing import TYPE_CHECKING, Any
 
-from geraniumbend.errors import ConflictError, ProtocolError
+from geraniumbend.errors import ConflictError, ProtocolError, UnavailableError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.membership._announced_warmups import AnnouncedWarmups
 from geraniumbend.membership._gossip import RENEW
@@ -79,6 +79,8 @@
         Servers that may get requests; updated with each record.
     timers : TimerService
         Clock.
+    server_limit : int, default=20000
+        Servers that this node adds to the records at most.
     """
 
     def __init__(
@@ -88,7 +90,9 @@
         gossip: Gossip,
         eligible_servers: EligibleServers,
         timers: TimerService,
+        server_limit: int = 20_000,
     ) -> None:
+        self._server_limit = server_limit
         self.warmups = AnnouncedWarmups(timers)
         self._members = members
         self._table = table
@@ -118,12 +122,16 @@
             If a newer incarnation is known or this one was deregistered.
         ProtocolError
             If the lease is out of range or the labels are too long.
+        UnavailableError
+            If the server is new and as many are known as the limit permits.
         """
         server = self.warmups.settle(announcement.server)
         announcement = announcement._replace(server=server)
         _check_limits(announcement)
         entry = self._table.get(SERVER, "", server.server_id)
         known = None if entry is None else entry.record
+        if known is None:
+            self._check_room(server.server_id)
         self._check_incarnation(server.server_id, server.incarnation, known)
         same_incarnation = known is not None and known.major == server.incarnation
         minor = known.minor + 1 if same_incarnation and known is not None else 1
@@ -206,6 +214,8 @@
         ------
         ConflictError
             If a newer incarnation is known.
+        UnavailableError
+            If the server is not known and as many are as the limit permits.
         """
         if incarnation:
             _check_incarnation_range(incarnation)
@@ -213,6 +223,7 @@
         if entry is None:
             if not incarnation:
                 return False
+            self._check_room(server_id)
             value = b""
         else:
             value = entry.record.value
@@ -398,6 +409,18 @@
                 lease = decode_server(record).lease_s
                 self._table.set_deadline(entry, now + lease)
 
+    def _check_room(self, server_id: str) -> None:
+        """Refuse a further server when the records are full.
+
+        Anybody who reaches the address can announce ever new servers.
+        """
+        if self._table.count(SERVER) >= self._server_limit:
+            raise UnavailableError(
+                f"backend server {server_id!r} is new, and {self._server_limit} are "
+                "known already",
+                "find out who announces so many, or raise peer.server_limit",
+            )
+
     def _store(self, record: Record, deadline: float | None) -> None:
         if record.state == DEREGISTERED and not record.value:
             announcement = None
--- a/src/geraniumbend/platform/_settings.py
+++ b/src/geraniumbend/platform/_settings.py
@@ -142,6 +142,7 @@
             seeds=seeds,
             bytes_per_second=host_sizes.compute_gossip_rate(control_link),
             announcement_lease_s=8 * parse_duration(given.heartbeat),
+            server_limit=host_sizes.compute_server_limit(limits.memory_mb * 1e6),
         ),
         gateway=_read_gateway(given),
         control=_read_control(given, seeds),
--- a/tests/crowds/_processes.py
+++ b/tests/crowds/_processes.py
@@ -149,6 +149,8 @@
 
     def __init__(self, gateway_mb=GATEWAY_MB, control_mb=CONTROL_MB, max_fds=MAX_FDS):
         self.folder = tempfile.TemporaryDirectory()
+        # Last announcement of each server, by group.
+        self.announced = {}
         front, ready, control = (reserve_port() for _ in range(3))
         # The port for forwarded requests is the one behind that of peers.
         peer = reserve_port(2)
@@ -208,6 +210,7 @@
                 "born": 7,
             }
             body["info"]["capacity"] = 64
+            self.announced[service] = body
             path = f"/-/instances/i-{service}/heartbeat"
             await self._repeat(self.operators, "POST", path, json.dumps(body))
         await self._repeat(self.front, "GET", "/p/x")
