Count trailers, and heads behind a whole request

Since the number of fields is not limited any more, 1,200 callers that send bodies of one byte with 2,400 trailers each took a gateway of 100 MB to 133 MB. Trailers that came in one piece with their head were not counted, and the parser keeps trailers until the next head begins, which may never come. A head that begins behind a whole request in one piece was not counted either.

Bytes of a body in chunks that are neither content nor ends of chunks count as trailers, with 256 bytes for each field, also behind a head; a connection ends with the response if its trailers take more than 4 KiB. Such a request is served as before.

--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -364,7 +364,8 @@
                 )
                 _refuse(request, refusal)
         self._lingering = self._upgraded or not payload.is_eof()
-        return request.keep_alive and not self._lingering
+        is_kept = request.keep_alive and not self.has_long_trailers
+        return is_kept and not self._lingering
 
     async def _linger(self) -> None:
         if self._force_close or not (self._lingering and self.writable):
--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -242,7 +242,7 @@
             else:
                 self.keep_alive = False
         self._remaining = 0 if bodiless else length
-        self._end_connection_if_draining()
+        self._end_connection_if_due()
         if not self.keep_alive:
             framing += b"Connection: close\r\n"
         elif self._message.version == HttpVersion10:
@@ -298,7 +298,7 @@
             lines.append(f"{FORWARD_REFUSED}: {error.kind}\r\n".encode())
         if not self._payload.is_eof():
             self.keep_alive = False
-        self._end_connection_if_draining()
+        self._end_connection_if_due()
         framing = b"Content-Length: %d\r\n" % len(document)
         if not self.keep_alive:
             framing += b"Connection: close\r\n"
@@ -311,13 +311,16 @@
         self.response_started = True
         self._write(b"".join((start, *lines, framing, b"\r\n", document)))
 
-    def _end_connection_if_draining(self) -> None:
-        """Let this response end the connection if the gateway drains.
+    def _end_connection_if_due(self) -> None:
+        """Let this response end the connection, above all if the gateway drains.
 
         Requests behind this one that are already with a backend server get their
         responses first; a caller sends those again that have not been started.
         """
         protocol = self._protocol
+        if protocol.has_long_trailers:
+            # The parser keeps them until the next head, which may never come.
+            self.keep_alive = False
         if protocol.server.draining and not protocol.has_started_requests():
             self.keep_alive = False
 
--- a/src/geraniumbend/adapters/_guarded_handler.py
+++ b/src/geraniumbend/adapters/_guarded_handler.py
@@ -29,6 +29,15 @@
 MESSAGE_BYTES = 6 * 1024
 # Memory of one field of a head besides its bytes, which are kept as bytes and as text.
 FIELD_BYTES = 256
+# End of a request line, and of a head or of trailers.
+HTTP_VERSION = b" HTTP/1."
+BLANK_LINE = b"\r\n\r\n"
+# Bytes of the shortest field: a name, a colon and the end of the line.
+MIN_FIELD_BYTES = 4
+# Bytes around a chunk: its length of six digits and two ends of lines.
+CHUNK_FRAMING_BYTES = 10
+# Memory of trailers above which a connection ends with the response.
+LONG_TRAILERS_BYTES = 4 * 1024
 # Parts of a body that wait at most; more are joined, since each takes more memory than
 # the bytes of a small chunk.
 MAX_BODY_PARTS = 16
@@ -74,9 +83,8 @@
         self._taken = 0
         self._requests = 0
         self._framing_bytes = 0
-        # End of the bytes before, in which the blank line behind trailers may begin.
-        self._last_bytes = b""
-        self._progress = (0, 0)
+        # Whether the parser keeps trailers, which it does until the next head begins.
+        self.has_long_trailers = False
         # Memory of the heads of the requests that are handled or wait, oldest first.
         self._heads: deque[int] = deque()
         self._heads_total = 0
@@ -132,36 +140,32 @@
             self._ask_for_turn()
 
     def parse(self, data: bytes) -> None:
-        """Pass bytes to the parser; count those of an unfinished head or trailer.
+        """Pass bytes to the parser; count those of an unfinished head or of trailers.
 
         The parser keeps their fields, each of which takes more than its bytes.
         """
-        body = self._last_body
-        was_open = not body.is_eof()
+        body, count = self._last_body, self._request_count
+        is_chunked = self._is_chunked_body()
+        size, chunks = body.total_bytes, _count_chunks(body) if is_chunked else 0
         RequestHandler.data_received(self, data)
         if self._holding is None or self._close or self._force_close:
             # Nothing is parsed any more.
             self._framing_bytes = 0
             return
-        progress = (self._request_count, self._last_body.total_bytes)
-        self._note_heads(progress[0] - self._progress[0])
-        if was_open and self._is_chunked:
-            ending = self._last_bytes + data
-            self._last_bytes = data[-3:]
-            if body.is_eof() and progress[0] == self._progress[0]:
-                # Trailers are not kept; what follows them is the start of a head.
-                self._framing_bytes = len(ending) - ending.rfind(b"\r\n\r\n") - 4
-                self._last_bytes = b""
-                self._progress = progress
-                return
-        if progress == self._progress:
-            self._framing_bytes += len(data) + FIELD_BYTES * data.count(b"\n")
+        self._note_heads(self._request_count - count)
+        if self._request_count != count:
+            self._framing_bytes = self._measure_behind_head(data)
             return
-        is_same = progress[0] == self._progress[0]
-        # Bytes behind the end of a body may be those of the next head.
-        grown = progress[1] - self._progress[1] if is_same else len(data)
-        self._framing_bytes = 0 if self._is_chunked else max(0, len(data) - grown)
-        self._progress = progress
+        grown = body.total_bytes - size
+        if is_chunked:
+            chunks = _count_chunks(body) - chunks
+            framing = _measure_trailers(data, len(data) - grown, chunks)
+        else:
+            # Bytes behind the end of a body may be those of the next head.
+            framing = _measure_fields(data[grown:])
+        self._framing_bytes = framing if grown else self._framing_bytes + framing
+        if is_chunked and body.is_eof():
+            self._end_trailers()
 
     def parse_next(self) -> None:
         """Parse the next slice; called in turn with other connections."""
@@ -347,7 +351,6 @@
                 headers: Any = getattr(message, "headers", {})
                 length = headers.get("Content-Length", "")
                 self._body_length = int(length) if length.isdecimal() else 0
-            self._progress = (self._request_count, self._last_body.total_bytes)
 
     def _join_parts(self) -> None:
         """Join the parts of a body that wait; nobody asks where its chunks end.
@@ -374,6 +377,32 @@
         if self._is_chunked or left > self._guard.window_sizes.ordinary_bytes:
             window.widen()
 
+    def _measure_behind_head(self, data: bytes) -> int:
+        """Return the memory of trailers, or of the next head, behind a parsed head."""
+        if not self._messages:
+            return 0
+        message, body = self._messages[-1]
+        if getattr(message, "chunked", False):
+            begin = max(0, data.rfind(HTTP_VERSION))
+            tail = data[data.find(BLANK_LINE, begin) + len(BLANK_LINE) :]
+            framing = len(tail) - body.total_bytes
+            self._framing_bytes = _measure_trailers(tail, framing, _count_chunks(body))
+            if body.is_eof():
+                self._end_trailers()
+            return self._framing_bytes
+        if not body.is_eof():
+            return 0
+        return _measure_fields(data[data.rfind(BLANK_LINE) + len(BLANK_LINE) :])
+
+    def _end_trailers(self) -> None:
+        """Note the end of a body in chunks.
+
+        The parser keeps its trailers until the next head, which may never come.
+        """
+        self.has_long_trailers = self._framing_bytes > LONG_TRAILERS_BYTES
+        if not self.has_long_trailers:
+            self._framing_bytes = 0
+
     def _note_heads(self, count: int) -> None:
         """Note the heads of the messages that were parsed last."""
         if not count:
@@ -410,6 +439,33 @@
             self._guard.close(holding)
 
 
+def _measure_fields(data: bytes) -> int:
+    """Return the memory of the fields in bytes of a head, of which each ends a line."""
+    return len(data) + FIELD_BYTES * data.count(b"\n")
+
+
+def _count_chunks(body: Any) -> int:
+    """Return the number of chunks that have ended since parts were joined."""
+    return len(body._http_chunk_splits or ())
+
+
+def _measure_trailers(data: bytes, framing: int, chunks: int) -> int:
+    """Return the memory of the trailers in bytes of a body in chunks.
+
+    Parameters
+    ----------
+    data : bytes
+        Bytes on the wire.
+    framing : int
+        How many of them are not the content of chunks.
+    chunks : int
+        Chunks that ended in them.
+    """
+    trailers = max(0, framing - CHUNK_FRAMING_BYTES * (chunks + 1))
+    fields = min(trailers // MIN_FIELD_BYTES, data.count(b"\n"))
+    return trailers + FIELD_BYTES * fields
+
+
 def _measure_head(message: Any) -> int:
     """Return the memory of the fields of a parsed request."""
     fields = getattr(message, "raw_headers", ())
--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -10,6 +10,7 @@
 from aiohttp.web_server import Server
 
 from geraniumbend.adapters._caller_protocol import CallerProtocol
+from geraniumbend.adapters._guarded_handler import MIN_FIELD_BYTES
 from geraniumbend.adapters._ports import PORT_WAIT_S, open_listener
 from geraniumbend.adapters._tls_listener import listen
 from geraniumbend.certificates import listener_certificates
@@ -30,9 +31,6 @@
     Handler = Callable[[HttpCallerRequest], Awaitable[None]]
 
 BACKLOG = 1024
-# Bytes of the shortest field: a name, a colon and the end of the line. The parser also
-# limits the number of fields; only their bytes count for callers.
-MIN_FIELD_BYTES = 4
 IDLE_TIMEOUT_S = 75.0
 POLL_PERIOD_S = 0.02
 # Interval and longest wait in seconds for the backlog to be empty in a stop.
@@ -110,6 +108,7 @@
             auto_decompress=False,
             max_line_size=limits.header_limit_bytes,
             max_field_size=limits.header_limit_bytes,
+            # Only their bytes count for callers.
             max_headers=limits.header_limit_bytes // MIN_FIELD_BYTES,
             read_bufsize=guard.window_sizes.wide_bytes if guard else READ_BUFFER_BYTES,
         )
--- a/tests/adapters/test_caller_guard.py
+++ b/tests/adapters/test_caller_guard.py
@@ -322,3 +322,25 @@
                 writer.close()
             self.assertEqual(set(statuses), {200, 503})
             self.assertEqual(len(backend.received), statuses.count(200))
+
+    async def test_only_long_trailers_end_a_connection(self):
+        """Guards against trailers that the parser keeps while the caller is idle."""
+        guard = self.create_guard()
+        fields = b"".join(b"Field-%d: some value\r\n" % index for index in range(40))
+        head = HEAD % (b"POST", b"Transfer-Encoding: chunked\r\n" + fields)
+        async with ScriptedBackend(digest) as backend:
+            path = await self.enter_path(backend, guard)
+            for trailers, is_closed in ((b"", False), (b"a: b\r\n" * 500, True)):
+                body = b"1\r\nx\r\n0\r\n" + trailers + b"\r\n"
+                for pieces in (
+                    [head + body],
+                    [head, body],
+                    [head[:90], head[90:] + body],
+                ):
+                    raw, reader, _ = await self.send(path, pieces)
+                    status, received, _ = parse(raw)
+                    self.assertEqual(status, 200)
+                    self.assertEqual(received.get("connection") == "close", is_closed)
+                    await reader.readexactly(64)
+                    await asyncio.sleep(0.05)
+                    self.assertEqual(guard.account.total, 0)
--- a/tests/crowds/_callers.py
+++ b/tests/crowds/_callers.py
@@ -55,6 +55,17 @@
     return [b"GET %b HTTP/1.1\r\n%b" % (path, FIELDS), b"a: b\r\n" * 2_400]
 
 
+def send_whole_heads(path):
+    """Return ten requests with 2,400 short fields each, within the limit."""
+    return [write_head(b"GET", path, *([b"a: b"] * 2_400))] * 10
+
+
+def send_many_trailers(path):
+    """Return bodies of one byte with 2,400 trailers each, within the limit."""
+    head = write_head(b"POST", path, b"Transfer-Encoding: chunked")
+    return [head + b"1\r\nx\r\n0\r\n" + b"a: b\r\n" * 2_400 + b"\r\n"] * 10
+
+
 def send_pipelined(path):
     """Return 20,000 pipelined requests, whose responses are not read."""
     return [write_head(b"GET", path) * 1_000] * 20
--- a/tests/crowds/test_unread_bytes.py
+++ b/tests/crowds/test_unread_bytes.py
@@ -33,6 +33,12 @@
     async def test_small_chunks(self):
         await self.check_front(callers.send_many_small_chunks)
 
+    async def test_whole_heads_of_very_many_fields(self):
+        await self.check_front(callers.send_whole_heads)
+
+    async def test_very_many_trailers(self):
+        await self.check_front(callers.send_many_trailers)
+
     async def test_chunk_extension_without_end(self):
         await self.check_front(callers.send_chunk_extension)
 
