--- a/src/geraniumbend/adapters/_guarded_handler.py
+++ b/src/geraniumbend/adapters/_guarded_handler.py
@@ -12,6 +12,12 @@
 from aiohttp.web_protocol import RequestHandler
 
 from geraniumbend.adapters._connection_window import ConnectionWindow
+from geraniumbend.adapters._field_sizes import (
+    count_chunks,
+    measure_fields,
+    measure_head,
+    measure_trailers,
+)
 
 if TYPE_CHECKING:
     from geraniumbend.adapters._caller_guard import CallerGuard
@@ -27,15 +33,9 @@
 # Memory of a connection with unfinished work, and of a parsed request.
 CONNECTION_BYTES = 8 * 1024
 MESSAGE_BYTES = 6 * 1024
-# Memory of one field of a head besides its bytes, which are kept as bytes and as text.
-FIELD_BYTES = 256
 # End of a request line, and of a head or of trailers.
 HTTP_VERSION = b" HTTP/1."
 BLANK_LINE = b"\r\n\r\n"
-# Bytes of the shortest field: a name, a colon and the end of the line.
-MIN_FIELD_BYTES = 4
-# Bytes around a chunk: its length of six digits and two ends of lines.
-CHUNK_FRAMING_BYTES = 10
 # Memory of trailers above which a connection ends with the response.
 LONG_TRAILERS_BYTES = 4 * 1024
 # Parts of a body that wait at most; more are joined, since each takes more memory than
@@ -146,7 +146,7 @@
         """
         body, count = self._last_body, self._request_count
         is_chunked = self._is_chunked_body()
-        size, chunks = body.total_bytes, _count_chunks(body) if is_chunked else 0
+        size, chunks = body.total_bytes, count_chunks(body) if is_chunked else 0
         RequestHandler.data_received(self, data)
         if self._holding is None or self._close or self._force_close:
             # Nothing is parsed any more.
@@ -158,11 +158,11 @@
             return
         grown = body.total_bytes - size
         if is_chunked:
-            chunks = _count_chunks(body) - chunks
-            framing = _measure_trailers(data, len(data) - grown, chunks)
+            chunks = count_chunks(body) - chunks
+            framing = measure_trailers(data, len(data) - grown, chunks)
         else:
             # Bytes behind the end of a body may be those of the next head.
-            framing = _measure_fields(data[grown:])
+            framing = measure_fields(data[grown:])
         self._framing_bytes = framing if grown else self._framing_bytes + framing
         if is_chunked and body.is_eof():
             self._end_trailers()
@@ -386,13 +386,13 @@
             begin = max(0, data.rfind(HTTP_VERSION))
             tail = data[data.find(BLANK_LINE, begin) + len(BLANK_LINE) :]
             framing = len(tail) - body.total_bytes
-            self._framing_bytes = _measure_trailers(tail, framing, _count_chunks(body))
+            self._framing_bytes = measure_trailers(tail, framing, count_chunks(body))
             if body.is_eof():
                 self._end_trailers()
             return self._framing_bytes
         if not body.is_eof():
             return 0
-        return _measure_fields(data[data.rfind(BLANK_LINE) + len(BLANK_LINE) :])
+        return measure_fields(data[data.rfind(BLANK_LINE) + len(BLANK_LINE) :])
 
     def _end_trailers(self) -> None:
         """Note the end of a body in chunks.
@@ -412,7 +412,7 @@
             self._heads.clear()
             self._heads_total = 0
         for message, _ in islice(self._messages, len(self._messages) - count, None):
-            size = _measure_head(message)
+            size = measure_head(message)
             if is_alone:
                 # Most heads are within what each request counts.
                 size = max(0, size - MESSAGE_BYTES)
@@ -437,37 +437,3 @@
         if holding is not None:
             assert self._guard is not None
             self._guard.close(holding)
-
-
-def _measure_fields(data: bytes) -> int:
-    """Return the memory of the fields in bytes of a head, of which each ends a line."""
-    return len(data) + FIELD_BYTES * data.count(b"\n")
-
-
-def _count_chunks(body: Any) -> int:
-    """Return the number of chunks that have ended since parts were joined."""
-    return len(body._http_chunk_splits or ())
-
-
-def _measure_trailers(data: bytes, framing: int, chunks: int) -> int:
-    """Return the memory of the trailers in bytes of a body in chunks.
-
-    Parameters
-    ----------
-    data : bytes
-        Bytes on the wire.
-    framing : int
-        How many of them are not the content of chunks.
-    chunks : int
-        Chunks that ended in them.
-    """
-    trailers = max(0, framing - CHUNK_FRAMING_BYTES * (chunks + 1))
-    fields = min(trailers // MIN_FIELD_BYTES, data.count(b"\n"))
-    return trailers + FIELD_BYTES * fields
-
-
-def _measure_head(message: Any) -> int:
-    """Return the memory of the fields of a parsed request."""
-    fields = getattr(message, "raw_headers", ())
-    size = sum(len(name) + len(value) for name, value in fields)
-    return 2 * size + FIELD_BYTES * len(fields)
--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -10,7 +10,7 @@
 from aiohttp.web_server import Server
 
 from geraniumbend.adapters._caller_protocol import CallerProtocol
-from geraniumbend.adapters._guarded_handler import MIN_FIELD_BYTES
+from geraniumbend.adapters._field_sizes import MIN_FIELD_BYTES
 from geraniumbend.adapters._ports import PORT_WAIT_S, open_listener
 from geraniumbend.adapters._tls_listener import listen
 from geraniumbend.certificates import listener_certificates
