Give peers an ordinary window before their first frame, while there are some

A peer's first frame may be a message of megabytes; a window of 2 KiB would make it some hundred round trips. Peers before their first signed frame get windows as callers do: 16 KiB for the connections that come first. Not measured on links with delay; the crowd of frames at the peers' ports passes as before.

--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -42,7 +42,6 @@
 # Maximum number of such requests of all connections of a listener. Otherwise a crowd
 # that pipelines fills the queues for servers with requests that wait for each other.
 MAX_PIPELINED_TOGETHER = 64
-
 # Retry-After in seconds of a request that is given up because the account is full,
 # which closes connections that stand still within a second.
 HELD_RETRY_S = 1.0
--- a/src/geraniumbend/adapters/_rpc_server.py
+++ b/src/geraniumbend/adapters/_rpc_server.py
@@ -180,6 +180,8 @@
             return
         source = str((writer.get_extra_info("peername") or ("",))[0])
         holding = self._guard.open(_UnverifiedPeer(writer), source, "peers")
+        connected = writer.get_extra_info("socket")
+        set_receive_buffer(connected, self._guard.open_window(holding))
         try:
             yield
         finally:
@@ -251,7 +253,7 @@
         """Do nothing: frames wait for no turn."""
 
     def narrow_window(self) -> None:
-        """Do nothing: the window is narrow until a frame is verified."""
+        """Do nothing: the window is not wide before a frame is verified."""
 
     def close_for_limit(self) -> None:
         """Close the connection."""
