Let the end of a connection not count as a request of its caller

The end of a connection made its caller an active one for 2 s, and the shares of all callers follow from the number of active ones: many idle connections that close would have cut others back. It also moved the time from which the caller's allowance is filled again.

--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -259,9 +259,8 @@
 
     def forget_connection(self, connection: int) -> None:
         """Forget what a caller's connection that has ended asked for."""
-        now = self._timers.now()
         for pool, caller in self._connections.pop(connection, ()):
-            pool.callers.forget_connection(caller, connection, now)
+            pool.callers.forget_connection(caller, connection)
 
     def _note_connection(self, pool: _PoolState, request: AdmissionRequest) -> None:
         if not request.connection:
--- a/src/geraniumbend/admission/_demand.py
+++ b/src/geraniumbend/admission/_demand.py
@@ -181,16 +181,15 @@
             share = connection_rate * len(state.connections) / state.rate
         return OfferedWork(state.rate, counted_s, share)
 
-    def forget_connection(self, caller: str, connection: int, now: float) -> None:
-        """Forget what a connection that has ended asked for."""
+    def forget_connection(self, caller: str, connection: int) -> None:
+        """Forget what a connection that has ended asked for.
+
+        This is no request: it does not make the caller an active one.
+        """
         state = self._callers.get(caller)
-        if state is None:
-            return
-        ended_rate = state.connections.forget(connection, now)
-        elapsed_s = max(0.0, now - state.updated)
-        rate = state.rate * math.exp(-elapsed_s / CALLER_DECAY_S)
-        state.rate = max(0.0, rate - ended_rate)
-        state.updated = max(state.updated, now)
+        if state is not None:
+            ended_rate = state.connections.forget(connection, state.updated)
+            state.rate = max(0.0, state.rate - ended_rate)
 
     def count_active(self, now: float) -> int:
         """Return the number of callers with a request in the last `CALLER_DECAY_S`."""
--- a/tests/admission/test_connection_demand.py
+++ b/tests/admission/test_connection_demand.py
@@ -36,7 +36,9 @@
             for connection in range(1, 25):
                 demand.record("a", WORK_S, LIMIT, 1.0, connection)
         for connection in range(1, 25):
-            demand.forget_connection("a", connection, 1.1)
+            demand.forget_connection("a", connection)
+        # The end of a connection is no request.
+        self.assertEqual(demand.count_active(1.0 + 2 * CALLER_DECAY_S), 0)
         offered = demand.record("a", WORK_S, LIMIT, 1.2, 99)
         self.assertLess(offered.rate, LIMIT)
         self.assertAlmostEqual(offered.rate, WORK_S / CALLER_DECAY_S)
