--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -471,6 +471,7 @@
                 first, fields = await read_head(reader)
                 method, path, _ = first.split(" ")
                 if path == "/health":
+                    await self.probe()
                     writer.write(self.build_health())
                     continue
                 body = await read_body(reader, fields)
@@ -502,7 +503,11 @@
         await writer.drain()
         return True
 
+    async def probe(self) -> None:
+        """Wait as long as a probe takes."""
+
     def load(self) -> str:
+        """Return the value of the header with the load."""
         return f"{self.running},0,{self.capacity},100"
 
     def build_health(self) -> bytes:
@@ -558,6 +563,11 @@
                 return await case(deployment, record)
         finally:
             await deployment.stop()
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+            await asyncio.sleep(0.1)
 
     try:
         is_broken = asyncio.run(run())
