--- a/review/6/case.py
+++ b/review/6/case.py
@@ -59,7 +59,9 @@
             return
         far_reader, far_writer = await asyncio.open_connection(sock=raw, limit=8_192)
         up = asyncio.ensure_future(self._pass("a client", reader, far_writer))
-        down = asyncio.ensure_future(self._pass("the gateway", far_reader, writer, LINK_CHUNK_S))
+        down = asyncio.ensure_future(
+            self._pass("the gateway", far_reader, writer, LINK_CHUNK_S)
+        )
         await asyncio.wait({up, down})
         far_writer.close()
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -74,7 +74,9 @@
     for instance in instances:
         await instance.stop()
     ran = {run[1] for run in runs}
-    refused = [rid for rid, status in statuses.items() if status in (429, 503, 408, 421)]
+    refused = [
+        rid for rid, status in statuses.items() if status in (429, 503, 408, 421)
+    ]
     broken = [request_id for request_id in refused if request_id in ran]
     doubled = sum(
         sum(run[3] == f"/entries/{number}" for run in runs) > 1
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -490,6 +490,11 @@
                 build_answer(421, request_id, b"", {"Geraniumbend-Not-Executed": "1"})
             )
             return True
+        refusal = self.refuse(request_id)
+        if refusal is not None:
+            self.record.write(f"instance {self.identity} turns {request_id} away")
+            writer.write(refusal)
+            return True
         self.runs.append((time.monotonic(), request_id, method, path, body))
         self.record.write(f"instance {self.identity} runs {request_id} {method} {path}")
         self.running += 1
@@ -503,6 +508,10 @@
         await writer.drain()
         return True
 
+    def refuse(self, request_id: str) -> bytes | None:
+        """Return the answer that turns a request away, None to run it."""
+        return None
+
     async def probe(self) -> None:
         """Wait as long as a probe takes."""
 
