--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -7,11 +7,17 @@
 import random
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-from geraniumbend.admission._demand import CallerDemand
+from geraniumbend.admission._demand import BIN_S, SHORT_WINDOW_BINS, CallerDemand
 from geraniumbend.admission._ranked_queue import QueuedRequest, RankedQueue
 from geraniumbend.admission._ranking import build_refusal
 from geraniumbend.admission._sheet_opens import SheetDecisionCache, shedding_rank
 from geraniumbend.admission._threshold import AdmissionThreshold
+from geraniumbend.caller_waits import (
+    compute_max_wait,
+    estimate_wait,
+    may_begin_to_wait,
+    spread_return,
+)
 from geraniumbend.errors import RefusedError
 from geraniumbend.logs import declare_event, log_event
 
@@ -33,7 +39,12 @@
 # higher rank, and share of the queue that a caller may hold before its requests are
 # queued last. Few callers share the capacity equally.
 MAX_CALLER_SHARE = 0.0625
-RETRY_AFTER_S = 2.0
+# Rank in the queue of requests that belong to no sheet open. Among them, the order of
+# arrival decides.
+ARRIVAL_RANK = 0.5
+# Shortest delay in seconds of a caller that is refused because demand exceeds capacity.
+# A change of the demand is not seen sooner.
+MIN_RETURN_S = SHORT_WINDOW_BINS * BIN_S
 # Identities of callers that are remembered of one connection, until it ends.
 MAX_REMEMBERED_CALLERS = 8
 # The level is infinite while there is no demand, which JSON cannot express.
@@ -88,8 +99,6 @@
         Priority under overload; lower numbers are served first.
     tenant : str, default=""
         Name of the caller's tenant; empty without one.
-    objective_s : float, default=0.0
-        Time within which the response should be complete, in seconds.
     connection : int, default=0
         Number of the caller's connection; 0 if it is not known.
     """
@@ -101,7 +110,6 @@
     deadline: float
     rank: int = 0
     tenant: str = ""
-    objective_s: float = 0.0
     connection: int = 0
 
 
@@ -112,6 +120,11 @@
         self._admission = admission
         self._pool: _PoolState | None = pool
 
+    def observe_refusal(self) -> None:
+        """Record that the request found no slot in its caller's time."""
+        if self._pool is not None:
+            self._admission._observe_refusal(self._pool)
+
     def release(self, outcome: Outcome | None = None) -> None:
         """Free the slot for the next request; further calls have no effect."""
         pool, self._pool = self._pool, None
@@ -128,6 +141,12 @@
         self.running = 0
         self.limit = 1
         self.slots = 1.0
+        # Slots that may work on the requests of this gateway.
+        self.usable_slots = 1.0
+        # Reading of the clock since which all slots are busy.
+        self.busy_since = 0.0
+        # Whether a request found no slot in its caller's time, until there is room.
+        self.is_short = False
         self.caller_share = 1.0
         self.share = 0.0
         self.utilization = 0.0
@@ -234,7 +253,7 @@
         if now + service_s > request.deadline:
             raise self._refuse(pool, "too little time is left before the deadline")
         if pool.running < pool.limit and not len(pool.queue):
-            pool.running += 1
+            self._take_slot(pool, now)
             pool.admitted += 1
             pool.threshold.observe_wait(0.0, 1.0)
             return Ticket(self, pool)
@@ -298,19 +317,23 @@
         self._shares.record_demand(request.group, service_s)
         pool.threshold.demand.record(offered.counted_s, now)
         sheet = request.sheet
-        rank = shedding_rank(sheet) if sheet else self._random.random()
+        rank = shedding_rank(sheet) if sheet else ARRIVAL_RANK
+        draw = rank if sheet else self._random.random()
         excess = offered.rate / caller_limit
         if excess > 1:
-            rank *= _weigh_connection(excess, offered.connection_share)
+            weight = _weigh_connection(excess, offered.connection_share)
+            rank, draw = weight * rank, weight * draw
         cost = self._table.costs.cost(request.group, request.request_class)
         if cost is None or cost.count < MIN_COST_SAMPLES:
             return rank
         recorded = self._sheet_decisions.find(pool.group, sheet, now) if sheet else None
-        admitted = rank <= threshold if recorded is None else recorded
+        admitted = draw <= threshold if recorded is None else recorded
+        return_s = 0.0 if admitted else self._estimate_return(pool)
         if sheet and recorded is None:
             self._sheet_decisions.record(pool.group, sheet, admitted, now)
         if not admitted:
-            raise self._refuse(pool, "demand exceeds the capacity of the group")
+            cause = "demand exceeds the capacity of the group"
+            raise self._refuse(pool, cause, return_s)
         max_queued = max(8, int(self._queue_limit * MAX_CALLER_SHARE))
         exceeds_queue_share = pool.queue.count_caller(request.caller) >= max_queued
         asks_for_little = excess > 1 and offered.connection_share < 1
@@ -349,13 +372,15 @@
         active = pool.callers.count_active(now)
         pool.caller_share = max(MAX_CALLER_SHARE, 1 / max(1, active))
         pool.limit = max(1, math.ceil(pool.slots * IN_FLIGHT_FACTOR))
+        pool.usable_slots = max(1.0, pool.slots)
         if 0 < utilization < SPARE_CAPACITY_UTILIZATION:
             # Callers are spread unevenly over gateways, and shares adapt only after
             # seconds. While servers report spare capacity, no request has to wait.
             pool.limit = max(pool.limit, self._table.slots(pool.group))
+            pool.usable_slots = max(pool.slots, self._table.slots(pool.group))
         if self._ranking is not None:
-            # The gate decides who runs. A limit by this gateway's share would hold
-            # requests in the queue for longer than a refusal may take.
+            # Gate and line decide who runs. They know rank and tenant, which the share
+            # of this gateway does not.
             pool.limit = max(pool.limit, self._table.slots(pool.group))
         robust_utilization = self._table.robust_utilization(pool.group)
         threshold = pool.threshold.update(
@@ -363,6 +388,7 @@
         )
         threshold = min(threshold, pool.threshold.value_for(""))
         shedding = threshold < 1 if not pool.shedding else threshold < 1.1
+        pool.is_short = pool.is_short and shedding
         if shedding != pool.shedding:
             pool.shedding = shedding
             log_event(
@@ -404,10 +430,16 @@
         service_s: float,
         now: float,
     ) -> None:
-        wait_s = (pool.queue.count_before(rank) + 1) * service_s / pool.limit
-        if now + wait_s + service_s > request.deadline:
+        work_s = pool.queue.sum_work_before(rank) + service_s
+        work_s += self._sum_waiting(pool, service_s)
+        busy_s = now - pool.busy_since
+        wait_s = estimate_wait(work_s, pool.usable_slots, service_s, busy_s)
+        response_s = self._table.costs.response_s(request.group, request.request_class)
+        max_wait_s = compute_max_wait(request.deadline - now, response_s)
+        if not may_begin_to_wait(wait_s, max_wait_s):
+            self._observe_refusal(pool)
             cause = "the queue is too long for the deadline"
-            raise self._refuse(pool, cause, wait_s)
+            raise self._refuse(pool, cause)
         entry = QueuedRequest(
             rank,
             pool.queue.next_sequence_number(),
@@ -415,6 +447,7 @@
             request.deadline,
             now,
             service_s,
+            response_s,
             asyncio.get_running_loop().create_future(),
         )
         pool.queue.add(entry)
@@ -432,17 +465,29 @@
                 pool.queue.remove(entry)
             raise
 
+    def _observe_refusal(self, pool: _PoolState) -> None:
+        pool.is_short = True
+        if self._ranking is not None:
+            self._ranking.observe_refusal(pool.group)
+
     def _release_slot(self, pool: _PoolState) -> None:
         pool.running -= 1
+        pool.busy_since = self._timers.now()
         self._dispatch(pool)
 
+    @staticmethod
+    def _take_slot(pool: _PoolState, now: float) -> None:
+        pool.running += 1
+        if pool.running == pool.limit:
+            pool.busy_since = now
+
     def _dispatch(self, pool: _PoolState) -> None:
         now = self._timers.now()
         while pool.running < pool.limit and len(pool.queue):
             entry = pool.queue.pop_first()
             allowed_s = entry.deadline - entry.queued_at - entry.service_s
             pool.threshold.observe_wait(now - entry.queued_at, allowed_s)
-            if not entry.can_finish(now):
+            if entry.compute_max_wait(now) <= 0:
                 self._drop(pool, entry, "too little time is left before the deadline")
             elif not entry.grant.done():
                 pool.running += 1
@@ -451,7 +496,13 @@
     def _sweep(self) -> None:
         now = self._timers.now()
         for pool in self._pools.values():
-            for entry in pool.queue.pop_expired(now):
+            waiting_s = self._sum_waiting(pool, pool.queue.mean_service_s())
+            busy_s = now - pool.busy_since
+            hopeless = pool.queue.pop_hopeless(
+                now, pool.usable_slots, waiting_s, busy_s
+            )
+            for entry in hopeless:
+                self._observe_refusal(pool)
                 pool.threshold.observe_wait(1.0, 1.0)
                 self._drop(pool, entry, "too little time is left before the deadline")
             if pool.threshold.is_due(now):
@@ -465,14 +516,27 @@
         if not entry.grant.done():
             entry.grant.set_exception(self._refuse(pool, cause))
 
+    @staticmethod
+    def _sum_waiting(pool: _PoolState, service_s: float) -> float:
+        """Return the work of admitted requests that wait for a slot, in seconds."""
+        return max(0.0, pool.running - pool.usable_slots) * service_s
+
+    def _estimate_return(self, pool: _PoolState) -> float:
+        """Return the time until a new request is likely to be admitted, in seconds."""
+        service_s = pool.queue.mean_service_s()
+        work_s = self._sum_waiting(pool, service_s) + pool.queue.sum_work()
+        return max(MIN_RETURN_S, estimate_wait(work_s, pool.usable_slots))
+
     def _refuse(
-        self, pool: _PoolState, cause: str, retry_after_s: float = RETRY_AFTER_S
+        self, pool: _PoolState, cause: str, return_s: float | None = None
     ) -> RefusedError:
         pool.refused += 1
+        if return_s is None:
+            return_s = self._estimate_return(pool)
         return RefusedError(
             f"request to group {pool.group!r} refused: {cause}",
             "retry after the stated delay",
-            retry_after_s=retry_after_s,
+            retry_after_s=spread_return(return_s, self._random.random()),
             inputs=pool.list_inputs(self._timers.now()),
         )
 
--- a/src/geraniumbend/admission/_rank_gate.py
+++ b/src/geraniumbend/admission/_rank_gate.py
@@ -7,6 +7,7 @@
 from geraniumbend.admission._crowding_control import CrowdingControl
 from geraniumbend.admission._ranked_demand import REST, Cell, Rates
 from geraniumbend.admission._share_filling import ALL, RankShare, divide_capacity
+from geraniumbend.caller_waits import spread_return
 
 if TYPE_CHECKING:
     import random
@@ -18,17 +19,11 @@
 # Share of the slots that is planned to be busy.
 PLANNED_UTILIZATION = 0.85
 # A tenant is admitted at least this often in relation to all requests together. The
-# requirement is a quarter; the rest is a margin for the error of the estimates.
+# users are promised a quarter; the rest is a margin for the error of the estimates.
 FLOOR_SHARE = 0.3
-# Callers honour a delay up to this share of the time that they have left.
-HONOURED_SHARE = 1 / 3
-# Least retry delay in seconds, and the admitted share from which a caller returns in
-# time for its objective. With a lower share it returns as late as it will, since bursts
-# last for seconds and a second refusal costs more than a late response.
-MIN_DELAY_S = 0.05
-PROMPT_SHARE = 0.6
-# Part of the delay that is random, which spreads the returns.
-DELAY_SPREAD = 0.5
+# Delay in seconds after which a refused caller returns at the earliest. The demand that
+# decides is an average over about this time, so a decision before is likely the same.
+RETURN_S = 2.0
 
 
 class GateInputs(NamedTuple):
@@ -78,17 +73,11 @@
     ----------
     cell : Cell
         Group, rank and tenant.
-    left_s : float
-        Time until its deadline, in seconds.
-    spare_s : float
-        Time for which it can wait and still meet its objective, in seconds.
     mix : dict of int to float
         Usual work of its tenant by rank, as seen by this gateway.
     """
 
     cell: Cell
-    left_s: float
-    spare_s: float
     mix: dict[int, float]
 
 
@@ -98,8 +87,8 @@
     Parameters
     ----------
     action : {"admit", "wait", "refuse"}
-        ``admit`` while the group has room; ``wait`` if the request may wait shortly for
-        a slot of the crowded group; ``refuse`` if it would not be served in time.
+        ``admit`` while the group has room; ``wait`` if the request may wait for a slot
+        of the crowded group; ``refuse`` if others have the capacity.
     delay_s : float, default=0.0
         Time after which a refused caller should return, in seconds.
     share : float, default=1.0
@@ -145,7 +134,7 @@
         share = self.find_share(request)
         if self._random.random() < share:
             return GateDecision("wait", share=share)
-        delay_s = self.suggest_delay(share, request.left_s, request.spare_s)
+        delay_s = spread_return(RETURN_S, self._random.random())
         return GateDecision("refuse", delay_s, share)
 
     def update(self, inputs: GateInputs) -> None:
@@ -185,23 +174,6 @@
         )
         return floor if served < floor * total else share
 
-    def suggest_delay(self, share: float, left_s: float, spare_s: float) -> float:
-        """Return the delay after which a refused caller should return, in seconds.
-
-        Parameters
-        ----------
-        share : float
-            Admitted share of its requests.
-        left_s : float
-            Time until the deadline, in seconds.
-        spare_s : float
-            Time for which it can wait and still meet its objective, in seconds.
-        """
-        delay_s = HONOURED_SHARE * left_s
-        if share >= PROMPT_SHARE and spare_s > MIN_DELAY_S:
-            delay_s = min(delay_s, spare_s)
-        return max(0.0, delay_s) * (1 - DELAY_SPREAD * self._random.random())
-
     def estimate_served(self, cell: Cell) -> float:
         """Return the work that a tenant gets at a rank, in seconds per second."""
         rate = self._tenants.get(cell.rank, {}).get(cell.tenant, 0.0)
--- a/src/geraniumbend/admission/_ranked_queue.py
+++ b/src/geraniumbend/admission/_ranked_queue.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import itertools
-from bisect import bisect_left, insort
+from bisect import bisect_left, bisect_right, insort
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from geraniumbend.caller_waits import compute_max_wait, estimate_wait
+
 if TYPE_CHECKING:
     import asyncio
 
@@ -27,7 +29,9 @@
     queued_at : float
         Time of arrival, in seconds.
     service_s : float
-        Expected service time, in seconds.
+        Mean service time, in seconds.
+    response_s : float
+        Time within which most responses are complete, in seconds.
     grant : asyncio.Future
         Completed when the request may run; fails with RefusedError if it is refused.
     """
@@ -38,6 +42,7 @@
         "grant",
         "queued_at",
         "rank",
+        "response_s",
         "sequence_number",
         "service_s",
     )
@@ -50,6 +55,7 @@
         deadline: float,
         queued_at: float,
         service_s: float,
+        response_s: float,
         grant: asyncio.Future[None],
     ) -> None:
         self.rank = rank
@@ -58,6 +64,7 @@
         self.deadline = deadline
         self.queued_at = queued_at
         self.service_s = service_s
+        self.response_s = response_s
         self.grant = grant
 
     @property
@@ -65,9 +72,9 @@
         """Rank, then order of arrival."""
         return (self.rank, self.sequence_number)
 
-    def can_finish(self, now: float) -> bool:
-        """Tell whether the response can be complete before the deadline."""
-        return now + self.service_s <= self.deadline
+    def compute_max_wait(self, now: float) -> float:
+        """Return how long it can wait and be answered in its caller's time."""
+        return compute_max_wait(self.deadline - now, self.response_s)
 
 
 class RankedQueue:
@@ -90,9 +97,21 @@
         """Return the number of queued requests of a caller."""
         return self._callers[caller]
 
-    def count_before(self, rank: float) -> int:
-        """Return the number of queued requests with a rank below the given one."""
-        return bisect_left(self._entries, rank, key=lambda entry: entry.rank)
+    def sum_work_before(self, rank: float) -> float:
+        """Return the service time of the requests that go before a new one of a rank.
+
+        In seconds.
+        """
+        count = bisect_right(self._entries, rank, key=lambda entry: entry.rank)
+        return sum(entry.service_s for entry in self._entries[:count])
+
+    def mean_service_s(self) -> float:
+        """Return the mean service time of the queued requests, 0 without any."""
+        return self.sum_work() / len(self._entries) if self._entries else 0.0
+
+    def sum_work(self) -> float:
+        """Return the service time of all queued requests, in seconds."""
+        return sum(entry.service_s for entry in self._entries)
 
     def add(self, entry: QueuedRequest) -> None:
         """Queue a request."""
@@ -115,12 +134,36 @@
         if index < len(self._entries) and self._entries[index] is entry:
             self._remove_at(index)
 
-    def pop_expired(self, now: float) -> list[QueuedRequest]:
-        """Remove and return the requests that can no longer meet their deadline."""
-        expired = [entry for entry in self._entries if not entry.can_finish(now)]
-        for entry in expired:
+    def pop_hopeless(
+        self, now: float, slots: float, waiting_s: float = 0.0, busy_s: float = 0.0
+    ) -> list[QueuedRequest]:
+        """Remove and return the requests that can't be answered in time.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        slots : float
+            Slots that work on the queued requests.
+        waiting_s : float, default=0.0
+            Service time in seconds of the requests that have left the queue and wait
+            for a slot.
+        busy_s : float, default=0.0
+            Time in seconds since a slot became free.
+        """
+        hopeless = []
+        work_s = waiting_s
+        service_s = self.mean_service_s()
+        for entry in self._entries:
+            wait_s = estimate_wait(work_s + entry.service_s, slots, service_s, busy_s)
+            max_wait_s = entry.compute_max_wait(now)
+            if max_wait_s <= 0 or (work_s and wait_s > max_wait_s):
+                hopeless.append(entry)
+            else:
+                work_s += entry.service_s
+        for entry in hopeless:
             self.remove(entry)
-        return expired
+        return hopeless
 
     def _remove_at(self, index: int) -> QueuedRequest:
         entry = self._entries.pop(index)
--- a/src/geraniumbend/admission/_ranking.py
+++ b/src/geraniumbend/admission/_ranking.py
@@ -40,13 +40,8 @@
 MIX_S = 30.0
 # Work of a request of a class that was not measured yet, in seconds.
 DEFAULT_WORK_S = 0.1
-# Age in seconds up to which an own refusal shows that a group without reports is full.
+# Age in seconds up to which an own refusal shows that requests find no slot in time.
 REFUSAL_AGE_S = 0.3
-# A caller that returns needs this multiple of the service time before its objective.
-SERVICE_TIME_FACTOR = 1.5
-# Longest wait for a slot of a crowded group, as a share of the objective: a refusal
-# costs nothing up to an eighth of it, and the last probes take some milliseconds.
-MAX_WAIT_SHARE = 0.1
 
 declare_event(
     402,
@@ -133,9 +128,7 @@
         decision = GateDecision("admit")
         crowding, _ = self._measure_crowding(request.group, now)
         if gate.control.may_start(crowding, self._is_informed()):
-            spare_s = request.objective_s - SERVICE_TIME_FACTOR * work_s
-            left_s = request.deadline - now
-            gate_request = GateRequest(cell, left_s, spare_s, self._find_mix(cell, now))
+            gate_request = GateRequest(cell, self._find_mix(cell, now))
             inputs = self._read_inputs(request.group, cell.group, now)
             decision = gate.decide(gate_request, inputs)
             self._report_change(request.group, gate, was_active, inputs)
@@ -163,32 +156,28 @@
         )
 
     def observe_refusal(self, group: str) -> None:
-        """Record that no server of a group had room for an admitted request."""
+        """Record that an admitted request found no slot in its caller's time."""
         self._refused_at[group] = self._timers.now()
 
-    def find_turn(self, group: str, rank: int, tenant: str) -> SlotTurn:
-        """Return the place of a request among those that wait for a slot."""
-        gate = self._find_gate(group)
-        served = gate.estimate_served(_find_cell(group, rank, tenant))
-        return SlotTurn(rank, served, MAX_WAIT_SHARE)
-
-    def suggest_delay(self, group: str, left_s: float, spare_s: float) -> float:
-        """Return when a caller that found no slot should return, in seconds.
-
-        While the group is not crowded, slots are short for a moment only, for example
-        when a gateway has started and callers have waited for it. A caller that returns
-        within some milliseconds would find the same.
+    def find_turn(
+        self, group: str, rank: int, tenant: str, arrived_s: float
+    ) -> SlotTurn:
+        """Return the place of a request among those that wait for a slot.
 
         Parameters
         ----------
         group : str
             Name of the group.
-        left_s, spare_s : float
-            Time left until the deadline, and time for which the request can wait and
-            still meet its objective, in seconds.
+        rank : int
+            Rank of the request.
+        tenant : str
+            Name of its tenant.
+        arrived_s : float
+            Reading of the clock when it arrived.
         """
         gate = self._find_gate(group)
-        return gate.suggest_delay(gate.control.share, left_s, spare_s)
+        served = gate.estimate_served(_find_cell(group, rank, tenant))
+        return SlotTurn(rank, served, arrived_s)
 
     def read_counts(self) -> dict[tuple[str, ...], float]:
         """Return the decisions by group, rank and action, for the metrics."""
@@ -248,12 +237,15 @@
     def _measure_crowding(self, group: str, now: float) -> tuple[float | None, float]:
         """Return the requests per slot of a group, and the age of that in seconds."""
         measured = self._table.measure_crowding(group, self._is_limited)
-        refused_s = now - self._refused_at.get(group, -math.inf)
-        if measured[0] is None and refused_s <= REFUSAL_AGE_S:
+        if measured[0] is None and self._is_short(group, now):
             # All servers are limited by rate, so none is asked for its slots.
-            return MAX_CROWDING, refused_s
+            return MAX_CROWDING, now - self._refused_at[group]
         return measured
 
+    def _is_short(self, group: str, now: float) -> bool:
+        """Tell whether a request found no slot in its caller's time lately."""
+        return now - self._refused_at.get(group, -math.inf) <= REFUSAL_AGE_S
+
     def _is_informed(self) -> bool:
         return self._exchange is not None and self._exchange.is_informed()
 
--- a/src/geraniumbend/proxying/_attempt.py
+++ b/src/geraniumbend/proxying/_attempt.py
@@ -12,10 +12,6 @@
     from geraniumbend.proxying._ports import SendKind, UpstreamError, UpstreamResponse
     from geraniumbend.routing import ServerView
 
-# Retry-After in seconds for a request that was shed without a stated delay. It is short
-# because the other servers of the group may have free slots.
-SHED_RETRY_AFTER_S = 0.05
-
 
 class Attempt:
     """One try to get a response from one backend server.
@@ -94,7 +90,7 @@
 
 
 def build_shed_refusal(
-    context: RequestContext, response: UpstreamResponse, delay_s: float | None = None
+    context: RequestContext, response: UpstreamResponse, room_s: float
 ) -> RefusedError:
     """Return the refusal of a request that the last server tried did not run.
 
@@ -103,14 +99,18 @@
     context : RequestContext
         Request.
     response : UpstreamResponse
-        Response of the server.
-    delay_s : float or None, default=None
-        Time until the group takes requests, in seconds, if all of its servers have
-        asked for time; without it the time that the response states.
+        Response of the server; the delay that it states counts.
+    room_s : float
+        Time until the group has room for a new request, in seconds.
     """
-    if delay_s is None:
-        after = response.headers.get("Retry-After", "")
-        stated = after.isdecimal() and len(after) < 6
-        delay_s = float(after) if stated else SHED_RETRY_AFTER_S
+    after = response.headers.get("Retry-After", "")
+    stated = after.isdecimal() and len(after) < 6
     cause = RefusedError("backend server shed the request before running it")
+    delay_s = float(after) if stated else room_s
+    return context.build_refusal(cause, 503, "shed", delay_s)
+
+
+def build_asked_refusal(context: RequestContext, delay_s: float) -> RefusedError:
+    """Return the refusal of a request while all servers of its group asked for time."""
+    cause = RefusedError("all backend servers have asked to get no requests")
     return context.build_refusal(cause, 503, "shed", delay_s)
--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from geraniumbend.caller_waits import compute_max_wait
 from geraniumbend.errors import GeraniumbendError, RefusedError
 from geraniumbend.proxying._attempt import (
     Attempt,
+    build_asked_refusal,
     build_failure_refusal,
     build_shed_refusal,
 )
@@ -18,7 +20,7 @@
 from geraniumbend.proxying._send_gate import RetryRules, SendGate
 from geraniumbend.proxying._server_signals import observe_signals
 from geraniumbend.proxying._takeover import Takeover
-from geraniumbend.routing import Outcome
+from geraniumbend.routing import Outcome, SlotTurn
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -37,20 +39,13 @@
         UpstreamResponse,
     )
     from geraniumbend.proxying._request_log import RequestLog
-    from geraniumbend.routing import SlotTurn
     from geraniumbend.tenants import Authenticator
     from geraniumbend.timers import TimerService
 
 # Statuses of a failing backend server; a retry on another one may succeed.
 RETRIED_STATUSES = frozenset((500, 502, 503, 504))
-# A request that waits for a free slot keeps this multiple of the mean service time for
-# its response.
-SERVICE_TIME_FACTOR = 1.5
-# Longest wait for a free slot, as a share of the rule's objective.
-MAX_WAIT_SHARE = 0.4
-
-# Kinds of refusals that show that a group has no room.
-FULL_KINDS = frozenset(("saturated", "limited"))
+# Pause in seconds before a request waits again whose slot another one has taken.
+SLOT_LOST_PAUSE_S = 0.005
 
 
 class LinkLostError(GeraniumbendError):
@@ -189,8 +184,7 @@
                     return attempt
                 self.finish(attempt, context)
                 if successor is None:
-                    delay_s = self._router.find_return_delay(context.group)
-                    raise build_shed_refusal(context, response, delay_s)
+                    raise self._refuse_shed(context, response)
                 reason = (
                     "backend server did not run it"
                     if not_run
@@ -200,35 +194,48 @@
             attempt = successor
 
     async def _begin_first(self, context: RequestContext) -> Attempt:
-        """Wait for a free slot, in turn if the group is crowded, and choose a server.
+        """Wait for a free slot and choose a server.
+
+        Raises
+        ------
+        RefusedError
+            If no backend server has room for the request in its caller's time.
+        """
+        while True:
+            await self._wait_for_slot(context)
+            try:
+                return self.begin_attempt(context)
+            except RefusedError as error:
+                if error.kind != "saturated" or not self.compute_max_wait(context):
+                    raise
+            # Another request has taken the slot meanwhile.
+            await self._timers.sleep(SLOT_LOST_PAUSE_S)
+
+    async def _wait_for_slot(self, context: RequestContext) -> None:
+        """Wait until it is the turn of a request and a server may have room for it.
 
         Raises
         ------
         RefusedError
-            If no backend server has room for the request.
+            If there will be no slot in time.
         """
         ranking = self._find_ranking() if self._find_ranking is not None else None
         if ranking is None:
-            await self.probe_candidates(context, self._compute_max_wait(context))
-            return self.begin_attempt(context)
-        turn = ranking.find_turn(context.group, context.importance, context.tenant)
-        max_wait_s = self._compute_max_wait(context)
-        spent_s = self._timers.now() - context.started_s
-        allowed_s = turn.max_wait_share * context.rule.objective_s
-        max_wait_s = min(max_wait_s, max(0.0, allowed_s - spent_s))
-        try:
-            await self.probe_candidates(context, max_wait_s, turn)
-            return self.begin_attempt(context)
-        except RefusedError as error:
-            if error.kind in FULL_KINDS:
-                ranking.observe_refusal(context.group)
-            now_s = self._timers.now()
-            delay_s = ranking.suggest_delay(
-                context.group, context.deadline_s - now_s, self.compute_spare(context)
+            turn = SlotTurn(0, 0.0, context.started_s)
+        else:
+            turn = ranking.find_turn(
+                context.group, context.importance, context.tenant, context.started_s
             )
-            if error.kind == "saturated":
-                error.retry_after_s = delay_s
-            raise
+        await self.probe_candidates(context, self.compute_max_wait(context), turn)
+
+    def _refuse_shed(
+        self, context: RequestContext, response: UpstreamResponse
+    ) -> RefusedError:
+        delay_s = self._router.find_return_delay(context.group)
+        if delay_s is not None:
+            return build_asked_refusal(context, delay_s)
+        room_s = self._router.estimate_room_s(context.group, context.rule.request_class)
+        return build_shed_refusal(context, response, room_s)
 
     def _check_link(self, context: RequestContext, error: UpstreamError) -> None:
         """Give up a request that has not run if other gateways take it from now on.
@@ -273,22 +280,12 @@
             await self._wait_synchronised()
         return found
 
-    def _compute_max_wait(self, context: RequestContext) -> float:
-        """Return the longest time to wait for a free slot, in seconds.
-
-        The wait leaves the time that a response needs to meet the rule's objective. It
-        is also limited to a share of the objective, so that a request that is refused
-        after all is refused early.
-        """
-        longest_s = MAX_WAIT_SHARE * context.rule.objective_s
-        return max(0.0, min(self.compute_spare(context), longest_s))
-
-    def compute_spare(self, context: RequestContext) -> float:
-        """Return how long a request can wait and still meet its objective."""
-        rule = context.rule
-        service_s = self._router.estimate_service_s(context.group, rule.request_class)
-        spent_s = self._timers.now() - context.started_s
-        return rule.objective_s - SERVICE_TIME_FACTOR * service_s - spent_s
+    def compute_max_wait(self, context: RequestContext) -> float:
+        """Return how long a request can wait and be answered in its caller's time."""
+        response_s = self._router.estimate_response_s(
+            context.group, context.rule.request_class
+        )
+        return compute_max_wait(context.deadline_s - self._timers.now(), response_s)
 
     def begin_attempt(
         self, context: RequestContext, kind: SendKind = "first"
--- a/src/geraniumbend/proxying/_ports.py
+++ b/src/geraniumbend/proxying/_ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Literal, NamedTuple, Protocol
 
 from geraniumbend.errors import GeraniumbendError
@@ -286,8 +287,9 @@
     ) -> bool:
         """Probe servers; tell whether one has a free slot on a lightly loaded host.
 
-        `max_wait_s` is the longest time to wait for such a server, in seconds; `turn`
-        is the place of the request among those that wait.
+        `max_wait_s` is the longest time to wait for a slot, in seconds; `turn` is the
+        place of the request among those that wait. Raises RefusedError if there will
+        be no slot in time.
         """
         ...
 
@@ -295,6 +297,14 @@
         """Return the mean service time of a request class, in seconds."""
         ...
 
+    def estimate_response_s(self, group: str, request_class: str) -> float:
+        """Return the time within which most responses are complete, in seconds."""
+        ...
+
+    def estimate_room_s(self, group: str, request_class: str) -> float:
+        """Return the time until a new request would have a slot, in seconds."""
+        ...
+
     def start_request(self, view: ServerView, request_class: str) -> None:
         """Count a request as in flight at a server."""
         ...
@@ -432,6 +442,10 @@
 class TicketPort(Protocol):
     """Permission of admission to send one request."""
 
+    def observe_refusal(self) -> None:
+        """Record that the request found no slot in its caller's time."""
+        ...
+
     def release(self, outcome: Outcome) -> None:
         """Return the permission and report the outcome of the request."""
         ...
@@ -448,28 +462,22 @@
 class RankingPort(Protocol):
     """Admission by rank and tenant to crowded groups."""
 
-    def find_turn(self, group: str, rank: int, tenant: str) -> SlotTurn:
+    def find_turn(
+        self, group: str, rank: int, tenant: str, arrived_s: float
+    ) -> SlotTurn:
         """Return the place of a request among those that wait for a slot."""
         ...
 
-    def observe_refusal(self, group: str) -> None:
-        """Record that no server of a group had room for an admitted request."""
-        ...
-
-    def suggest_delay(self, group: str, left_s: float, spare_s: float) -> float:
-        """Return when a refused caller should return, in seconds."""
-        ...
-
 
 class QuotaPort(Protocol):
     """Quotas of tenants, kept by all gateways together."""
 
     async def admit(
-        self, tenant: Tenant, spare_s: float = 0.0
+        self, tenant: Tenant, max_wait_s: float = math.inf
     ) -> QuotaTicketPort | None:
         """Count a request of a tenant; raises RefusedError above its quota.
 
-        `spare_s` is how long the request can wait and still meet its objective.
+        `max_wait_s` is how long it can wait and be answered in its caller's time.
         """
         ...
 
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -48,6 +48,7 @@
         RankingPort,
         RetryBudgetPort,
         RouterPort,
+        TicketPort,
         Upstream,
     )
     from geraniumbend.settings import Settings
@@ -59,7 +60,10 @@
 # own timeout at the deadline and reports its state more precisely, so it comes first.
 DEADLINE_GRACE_S = 0.02
 # Time in seconds beyond the deadline that a response has to end once it has started.
+# Its caller reads it already, and is promised an end within half a second.
 STARTED_RESPONSE_GRACE_S = 0.4
+# Kinds of refusals that show that a group has no room.
+FULL_KINDS = frozenset(("saturated", "limited"))
 # Retry-After in seconds while a gateway that has just started has no configuration; it
 # usually gets one within some tenths of a second.
 NO_CONFIGURATION_RETRY_S = 0.2
@@ -499,8 +503,8 @@
         authentication = context.authentication
         if quotas is None or authentication is None or authentication.tenant is None:
             return await self._admit_within_quota(context, caller, consume)
-        spare_s = self._attempts.compute_spare(context)
-        ticket = await quotas.admit(authentication.tenant, spare_s)
+        max_wait_s = self._attempts.compute_max_wait(context)
+        ticket = await quotas.admit(authentication.tenant, max_wait_s)
         try:
             return await self._admit_within_quota(context, caller, consume)
         except BaseException:
@@ -515,8 +519,9 @@
         quotas, authentication = self._parts.quotas, context.authentication
         if quotas is None or authentication is None or authentication.tenant is None:
             return True
+        max_wait_s = self._attempts.compute_max_wait(context)
         try:
-            await quotas.admit(authentication.tenant)
+            await quotas.admit(authentication.tenant, max_wait_s)
         except RefusedError:
             return False
         return True
@@ -540,14 +545,13 @@
                 context.deadline_s,
                 context.importance,
                 context.tenant,
-                rule.objective_s,
                 context.request.connection,
             )
         )
         started_s = timers.now()
         status = 0
         try:
-            attempt = await self._attempts.fetch(context)
+            attempt = await self._fetch(context, ticket)
             assert attempt.response is not None
             status = attempt.response.status
             if context.request.is_behind():
@@ -560,6 +564,14 @@
             latency_s = timers.now() - started_s
             ticket.release(Outcome(status, latency_s, 0.0, not status))
 
+    async def _fetch(self, context: RequestContext, ticket: TicketPort) -> Attempt:
+        try:
+            return await self._attempts.fetch(context)
+        except RefusedError as error:
+            if error.kind in FULL_KINDS:
+                ticket.observe_refusal()
+            raise
+
     async def _forward(self, context: RequestContext, attempt: Attempt) -> int:
         response = attempt.response
         assert response is not None
--- a/src/geraniumbend/routing/_costs.py
+++ b/src/geraniumbend/routing/_costs.py
@@ -20,6 +20,11 @@
 # the boundary from changing back and forth.
 LONG_FACTOR = 4.0
 SHORT_FACTOR = 3.0
+# Time beyond the mean service time that is kept for a response, as a multiple of the
+# mean deviation, and its least share of the mean. An order that is cut off at its
+# deadline leaves its caller in doubt, and the response has to be read.
+DEVIATION_FACTOR = 2.0
+MIN_MARGIN_SHARE = 0.25
 # Quantile of the service times that is tracked as the tail of a class.
 TAIL_QUANTILE = 0.95
 
@@ -34,6 +39,7 @@
         "_latency_s",
         "_queueing",
         "count",
+        "deviation_s",
         "mean_s",
         "rate",
         "response_bytes",
@@ -47,6 +53,8 @@
         self.response_bytes = 0.0
         self.count = 0
         self.mean_s = 0.0
+        # Mean absolute deviation of the service times from their mean.
+        self.deviation_s = 0.0
         self.tail_s = 0.0
         self.rate = 0.0
         self.updated = 0.0
@@ -67,6 +75,11 @@
         latency_s /= queueing
         if self.count == 1:
             self.tail_s = 2 * latency_s
+            # As for the first sample of a round-trip time (RFC 6298, 2.2).
+            self.deviation_s = latency_s / 2
+        else:
+            deviation_s = abs(latency_s - self.mean_s)
+            self.deviation_s += weight * (deviation_s - self.deviation_s)
         # Stochastic approximation of the quantile: the steps up and down balance when
         # a share of TAIL_QUANTILE of the service times lies below the estimate.
         step = 0.05 * self.mean_s
@@ -76,6 +89,13 @@
         self.rate = self.current_rate(now) + 1 / RATE_DECAY_S
         self.updated = now
 
+    @property
+    def response_s(self) -> float:
+        """Time in seconds within which most responses are complete."""
+        return self.mean_s + max(
+            DEVIATION_FACTOR * self.deviation_s, MIN_MARGIN_SHARE * self.mean_s
+        )
+
     def current_rate(self, now: float) -> float:
         """Return the rate in requests per second, decayed to the present."""
         return self.rate * math.exp(-max(0.0, now - self.updated) / RATE_DECAY_S)
@@ -137,6 +157,14 @@
         cost = self.cost(group, request_class)
         return cost.mean_s if cost is not None else default_s
 
+    def response_s(self, group: str, request_class: str) -> float:
+        """Return the time within which most responses of a class are complete.
+
+        In seconds; 0 when none was observed.
+        """
+        cost = self.cost(group, request_class)
+        return cost.response_s if cost is not None else 0.0
+
     def is_long(self, group: str, request_class: str) -> bool:
         """Tell whether a class runs many times longer than the group's median."""
         return request_class in self.long_classes(group)
--- a/src/geraniumbend/routing/_free_slot_finder.py
+++ b/src/geraniumbend/routing/_free_slot_finder.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
+from geraniumbend.caller_waits import spread_return
 from geraniumbend.errors import RefusedError
+from geraniumbend.routing._on_demand_probes import LIGHT_LOAD_SLOWDOWN
 from geraniumbend.routing._policies import SelectionContext, score
-from geraniumbend.routing._slot_line import SlotLine
+from geraniumbend.routing._slot_line import SlotLine, SlotTurn
 
 if TYPE_CHECKING:
     import random
@@ -14,12 +16,8 @@
 
     from geraniumbend.routing._on_demand_probes import OnDemandProbes
     from geraniumbend.routing._server_views import ServerView
-    from geraniumbend.routing._slot_line import SlotTurn
     from geraniumbend.timers import TimerService
 
-# Retry delay of a refused request, as a fraction of the mean service time: in this
-# time, half of the busy slots become free.
-RETRY_AFTER_SHARE = 0.5
 # Largest random increase of a score, as a fraction of it, when servers are ordered for
 # probing. Without it, all gateways would probe, and then load, the same servers.
 PROBE_ORDER_JITTER = 1.0
@@ -38,6 +36,39 @@
 ACCEPTED_SHARE = 0.25
 
 
+class SlotSearch(NamedTuple):
+    """Search for a server with a free slot for one request.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    list_members : callable
+        Returns the servers that may get the request.
+    build_context : callable
+        Returns the request and the state of its group at the present time.
+    count_slots : callable
+        Returns how many slots of the group serve the requests of this gateway.
+    estimate_room : callable
+        Returns the time until a new request would have a slot, in seconds.
+    service_s : float
+        Mean service time of the request in seconds; 0 when unknown.
+    turn : SlotTurn or None, default=None
+        Place of the request among those that wait; None if it does not wait.
+    max_wait_s : float, default=0.0
+        Longest wait in seconds, besides that for the first probes.
+    """
+
+    group: str
+    list_members: Callable[[], list[ServerView]]
+    build_context: Callable[[], SelectionContext]
+    count_slots: Callable[[], float]
+    estimate_room: Callable[[], float]
+    service_s: float
+    turn: SlotTurn | None = None
+    max_wait_s: float = 0.0
+
+
 class FreeSlotFinder:
     """Finds servers with a free slot for a request, by on-demand probes.
 
@@ -65,106 +96,124 @@
         self._on_demand_probes = on_demand_probes
         self._count = count
         self._timers = timers
-        self._line = SlotLine()
+        self._line = SlotLine(timers)
 
-    async def find_in_turn(
-        self,
-        group: str,
-        turn: SlotTurn,
-        list_members: Callable[[], list[ServerView]],
-        build_context: Callable[[], SelectionContext],
-        max_wait_s: float,
-    ) -> bool:
-        """Probe servers of a crowded group when it is the turn of a request.
+    async def find(self, search: SlotSearch) -> bool:
+        """Probe servers until one of them has room for a request.
 
-        Parameters
-        ----------
-        group : str
-            Name of the group.
-        turn : SlotTurn
-            Place of the request among those that wait.
-        list_members, build_context, max_wait_s
-            As in `find`.
+        While others wait, the request waits for its turn. It goes to a lightly loaded
+        server, or after a short wait to any server that may have a free slot.
+
+        Returns
+        -------
+        bool
+            Whether a lightly loaded server was found.
 
         Raises
         ------
         RefusedError
-            If requests with an earlier turn still wait at the end of the longest wait.
+            If the request will have no slot in time.
         """
-        end_s = self._timers.now() + max_wait_s
-        place = self._line.join(group, turn)
+        if search.turn is None:
+            return await self._probe_all(search)
+        if not self._line.count(search.group):
+            if await self._probe_all(search):
+                return True
+            if search.max_wait_s <= 0:
+                return False
+        elif search.max_wait_s <= 0:
+            raise self._refuse(search)
+        return await self._wait(search, search.turn)
+
+    def estimate_room(self, group: str, service_s: float, slots: float) -> float:
+        """Return the time until a new request would have a slot, in seconds."""
+        return self._line.estimate_room(group, service_s, slots)
+
+    async def _wait(self, search: SlotSearch, turn: SlotTurn) -> bool:
+        """Wait for the turn of a request and then for a server with room."""
+        line, group = self._line, search.group
+        started_s = self._timers.now()
+        latest_s = started_s + search.max_wait_s
+        waiting = line.join(group, turn, search.service_s, latest_s)
+        has_slot = False
         try:
-            while not self._line.is_first(group, place):
-                if self._timers.now() + PROBE_PAUSE_S > end_s:
-                    raise build_saturated_refusal(build_context())
+            line.review(group, search.count_slots(), is_due=True)
+            while True:
+                if waiting.refused_after_s is not None:
+                    raise build_saturated_refusal(
+                        search.build_context(), waiting.refused_after_s
+                    )
+                if not line.is_first(group, waiting):
+                    await waiting.wait_for_change()
+                    continue
+                is_found = await self._probe_all(search)
+                if not line.is_first(group, waiting):
+                    continue
+                if is_found:
+                    has_slot = self.accepts(started_s, latest_s)
+                else:
+                    has_slot = self._takes_any_slot(search, turn)
+                if has_slot:
+                    return is_found
+                if self._timers.now() + PROBE_PAUSE_S > latest_s:
+                    raise self._refuse(search)
                 await self._timers.sleep(PROBE_PAUSE_S)
-            return await self.find(
-                list_members,
-                build_context,
-                end_s - self._timers.now(),
-                lambda: self._line.is_first(group, place),
-            )
+                line.review(group, search.count_slots())
         finally:
-            self._line.leave(group, place)
+            line.leave(group, waiting, has_slot)
 
-    async def find(
-        self,
-        list_members: Callable[[], list[ServerView]],
-        build_context: Callable[[], SelectionContext],
-        max_wait_s: float,
-        is_in_turn: Callable[[], bool] | None = None,
-    ) -> bool:
-        """Probe servers until one of them is lightly loaded.
+    def _takes_any_slot(self, search: SlotSearch, turn: SlotTurn) -> bool:
+        """Tell whether a request goes to a server that is not lightly loaded.
 
-        Servers of other failure domains are probed only if no server of the gateway's
-        own domain is lightly loaded, since bandwidth between domains is scarce.
+        It holds out for a lightly loaded one as long as its work takes longer on the
+        fastest server with a free slot.
+        """
+        context = search.build_context()
+        now = context.now
+        slowdowns = [
+            view.estimate_slowdown(now, context.slowdown)
+            for view in search.list_members()
+            if self._may_have_slot(view, context)
+        ]
+        if not slowdowns:
+            return False
+        slowdown = min(slowdowns)
+        if self._line.count(search.group) == 1:
+            # Nobody else loses time. The last free slots slow down all of a server.
+            slowdown = max(slowdown, LIGHT_LOAD_SLOWDOWN)
+        return now >= turn.arrived_s + (slowdown - 1) * search.service_s
 
-        Parameters
-        ----------
-        list_members : callable
-            Returns the servers that may get the request.
-        build_context : callable
-            Returns the request and the state of its group at the present time.
-        max_wait_s : float
-            Longest wait in seconds, besides that for the first probes.
-        is_in_turn : callable or None, default=None
-            Tells whether the request may still take the next free slot; while it may
-            not, no servers are probed.
+    def _may_have_slot(self, view: ServerView, context: SelectionContext) -> bool:
+        """Tell whether a server has a free slot by its last report or by the others."""
+        if self._on_demand_probes.has_fresh_report(view):
+            return self._on_demand_probes.has_free_slot(view)
+        load = view.estimate_in_flight(context.now, context.utilization)
+        return load + 1 <= view.slots
 
-        Returns
-        -------
-        bool
-            Whether a lightly loaded server was found.
+    def _refuse(self, search: SlotSearch) -> RefusedError:
+        return build_saturated_refusal(search.build_context(), search.estimate_room())
+
+    async def _probe_all(self, search: SlotSearch) -> bool:
+        """Probe servers once; tell whether one of them is lightly loaded.
+
+        Servers of other failure domains are probed only if no server of the gateway's
+        own domain is lightly loaded, since bandwidth between domains is scarce. A
+        server that fails some requests is probed if a request would wait otherwise, as
+        it still serves more than a refusal does.
         """
-        started_s = self._timers.now()
-        end_s = started_s + max_wait_s
-        while True:
-            context = build_context()
-            members = list_members()
-            healthy = self._prefer_healthy(members)
-            local = _list_local(healthy, context)
-            remote = [view for view in healthy if view not in local]
-            is_found = await self._probe_members(
-                local, context
-            ) or await self._probe_members(remote, build_context())
-            if is_found and self.accepts(started_s, end_s):
-                return True
-            # A server that fails some requests still serves more than a refusal does.
-            failing = [view for view in members if view not in healthy]
-            is_needed = (
-                max_wait_s > 0
-                and not is_found
-                and not self._may_have_free_slot(healthy)
-            )
-            if is_needed and await self._probe_members(failing, build_context()):
-                return True
-            if self._timers.now() + PROBE_PAUSE_S > end_s:
-                return False
-            await self._timers.sleep(PROBE_PAUSE_S)
-            while is_in_turn is not None and not is_in_turn():
-                if self._timers.now() + PROBE_PAUSE_S > end_s:
-                    raise build_saturated_refusal(build_context())
-                await self._timers.sleep(PROBE_PAUSE_S)
+        context = search.build_context()
+        members = search.list_members()
+        healthy = self._prefer_healthy(members)
+        local = _list_local(healthy, context)
+        remote = [view for view in healthy if view not in local]
+        if await self._probe_members(local, context):
+            return True
+        if await self._probe_members(remote, search.build_context()):
+            return True
+        if search.max_wait_s <= 0 or self._may_have_free_slot(healthy):
+            return False
+        failing = [view for view in members if view not in healthy]
+        return await self._probe_members(failing, search.build_context())
 
     def accepts(self, started_s: float, end_s: float) -> bool:
         """Tell whether a request goes to a server that was found lightly loaded.
@@ -172,7 +221,7 @@
         Parameters
         ----------
         started_s, end_s : float
-            Start and longest duration of its wait, by the clock.
+            Start and latest end of its wait, by the clock.
         """
         now = self._timers.now()
         has_waited = now - started_s > PROBE_PAUSE_S
@@ -181,7 +230,10 @@
         return self._random.random() < ACCEPTED_SHARE
 
     def list_usable(
-        self, members: list[ServerView], context: SelectionContext
+        self,
+        members: list[ServerView],
+        context: SelectionContext,
+        estimate_room: Callable[[], float],
     ) -> list[ServerView]:
         """Return the servers that are fit for a request by their fresh reports.
 
@@ -189,6 +241,15 @@
         servers in the gateway's own failure domain if there are any. The list is empty
         if there are too few fresh reports or none shows a free slot.
 
+        Parameters
+        ----------
+        members : list of ServerView
+            Servers that may get the request.
+        context : SelectionContext
+            Request and present state of its group.
+        estimate_room : callable
+            Returns the time until the request would have a slot, in seconds.
+
         Raises
         ------
         RefusedError
@@ -202,27 +263,31 @@
         if lightly_loaded:
             usable = self._prefer_healthy(lightly_loaded)
             return _list_local(usable, context) or usable
-        fresh = [
-            view for view in members if self._on_demand_probes.has_fresh_report(view)
-        ]
-        free = [view for view in fresh if self._on_demand_probes.has_free_slot(view)]
-        probed = min(len(members), PROBE_ROUNDS * self._count)
-        if fresh and not free and len(fresh) >= probed:
-            raise build_saturated_refusal(context)
+        if self._are_full(members):
+            raise build_saturated_refusal(context, estimate_room())
+        fresh = self._list_fresh(members)
         # Two servers with fresh reports are a better choice than four with old ones,
         # which the routing policy would sample.
         if len(fresh) < 2:
             return []
-        usable = self._prefer_healthy(free)
+        usable = self._prefer_healthy(self._list_free(fresh))
         return _list_local(usable, context) or usable
 
+    def _are_full(self, members: list[ServerView]) -> bool:
+        """Tell whether fresh reports of as many servers as are probed show no slot."""
+        fresh = self._list_fresh(members)
+        probed = min(len(members), PROBE_ROUNDS * self._count)
+        return bool(fresh) and len(fresh) >= probed and not self._list_free(fresh)
+
+    def _list_fresh(self, views: list[ServerView]) -> list[ServerView]:
+        return [view for view in views if self._on_demand_probes.has_fresh_report(view)]
+
+    def _list_free(self, views: list[ServerView]) -> list[ServerView]:
+        return [view for view in views if self._on_demand_probes.has_free_slot(view)]
+
     def _may_have_free_slot(self, views: list[ServerView]) -> bool:
         """Tell whether a fresh report shows a free slot on one of the servers."""
-        return any(
-            self._on_demand_probes.has_fresh_report(view)
-            and self._on_demand_probes.has_free_slot(view)
-            for view in views
-        )
+        return bool(self._list_free(self._list_fresh(views)))
 
     def _prefer_healthy(self, views: list[ServerView]) -> list[ServerView]:
         """Leave out failing servers, which may seem idle, unless all are failing."""
@@ -262,13 +327,22 @@
         return score(view, context) * factor
 
 
-def build_saturated_refusal(context: SelectionContext) -> RefusedError:
-    """Return the refusal of a request for which no server has a free slot."""
+def build_saturated_refusal(context: SelectionContext, room_s: float) -> RefusedError:
+    """Return the refusal of a request for which no server has a free slot.
+
+    Parameters
+    ----------
+    context : SelectionContext
+        Request and present state of its group.
+    room_s : float
+        Time until it would have had a slot, in seconds.
+    """
     return RefusedError(
         "all backend servers that were probed are full",
         "retry after the stated delay",
         kind="saturated",
-        retry_after_s=RETRY_AFTER_SHARE * context.mean_s,
+        retry_after_s=spread_return(room_s, context.random.random()),
+        inputs={"room_s": round(room_s, 3)},
     )
 
 
--- a/src/geraniumbend/routing/_hanging_servers.py
+++ b/src/geraniumbend/routing/_hanging_servers.py
@@ -96,10 +96,15 @@
         return [view for view in members if not view.is_full(now)] or members
 
     def exclude_busy(
-        self, members: list[ServerView], context: SelectionContext
+        self,
+        members: list[ServerView],
+        context: SelectionContext,
+        estimate_room: Callable[[], float],
     ) -> list[ServerView]:
         """Leave out servers whose slots are all busy by a recent report.
 
+        `estimate_room` returns the time until the request would have a slot.
+
         Raises
         ------
         RefusedError
@@ -109,5 +114,5 @@
             return members
         unknown = [view for view in members if not view.is_known_busy(context.now)]
         if not unknown:
-            raise build_saturated_refusal(context)
+            raise build_saturated_refusal(context, estimate_room())
         return unknown
--- a/src/geraniumbend/routing/_router.py
+++ b/src/geraniumbend/routing/_router.py
@@ -5,9 +5,10 @@
 import random
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+from geraniumbend.caller_waits import estimate_wait
 from geraniumbend.errors import RefusedError
 from geraniumbend.logs import declare_event, log_event
-from geraniumbend.routing._free_slot_finder import FreeSlotFinder
+from geraniumbend.routing._free_slot_finder import FreeSlotFinder, SlotSearch
 from geraniumbend.routing._hanging_servers import HangingServers
 from geraniumbend.routing._limited_servers import LimitedServers
 from geraniumbend.routing._policies import (
@@ -18,6 +19,7 @@
     score,
 )
 from geraniumbend.routing._server_views import Outcome
+from geraniumbend.routing._slot_line import SlotTurn
 from geraniumbend.routing._subsets import choose_subset, count_subset
 from geraniumbend.routing._trial_requests import TrialRequests
 
@@ -30,7 +32,6 @@
     from geraniumbend.routing._on_demand_probes import OnDemandProbes
     from geraniumbend.routing._server_table import ServerTable
     from geraniumbend.routing._server_views import ServerView
-    from geraniumbend.routing._slot_line import SlotTurn
     from geraniumbend.settings import Settings
     from geraniumbend.timers import TimerService
 
@@ -185,7 +186,8 @@
             when all of their slots are busy, so an overload ends sooner when requests
             wait in the gateway than when they queue on the servers.
         turn : SlotTurn or None, default=None
-            Place of the request among those that wait for a slot of a crowded group.
+            Place of the request among those that wait for a slot; by its arrival now
+            when None.
 
         Returns
         -------
@@ -196,7 +198,8 @@
         Raises
         ------
         RefusedError
-            If all servers ask for time during the wait.
+            If all servers ask for time during the wait, or if the request will have no
+            slot in time.
         """
         if self._table.asked.are_any() and not self._table.available(group):
             return False
@@ -226,12 +229,19 @@
         def build_context() -> SelectionContext:
             return self._build_context(group, request_class, deadline_s)
 
-        finder = self._free_slot_finder
-        if turn is None:
-            return await finder.find(list_members, build_context, max_wait_s)
-        return await finder.find_in_turn(
-            group, turn, list_members, build_context, max_wait_s
+        if turn is None and max_wait_s > 0:
+            turn = SlotTurn(0, 0.0, self._timers.now())
+        search = SlotSearch(
+            group,
+            list_members,
+            build_context,
+            lambda: self._count_slots(group),
+            lambda: self.estimate_room_s(group, request_class),
+            self.estimate_service_s(group, request_class),
+            turn,
+            max_wait_s,
         )
+        return await self._free_slot_finder.find(search)
 
     def choose(
         self,
@@ -284,6 +294,10 @@
         if len(members) == 1:
             return members[0]
         context = self._build_context(group, request_class, deadline_s)
+
+        def estimate_room() -> float:
+            return self.estimate_room_s(group, request_class)
+
         permitted = self._limited.list_permitted(members, context)
         if permitted:
             return min(permitted, key=lambda view: score(view, context))
@@ -296,12 +310,12 @@
             if due is not None:
                 return due
         if self._free_slot_finder is not None:
-            usable = self._free_slot_finder.list_usable(members, context)
+            usable = self._free_slot_finder.list_usable(members, context, estimate_room)
             if usable:
                 return min(
                     usable, key=lambda view: add_jitter(score(view, context), context)
                 )
-            members = self.hanging.exclude_busy(members, context)
+            members = self.hanging.exclude_busy(members, context, estimate_room)
         members = self._list_local(group, request_class, members) or members
         return self._choose_from_pools(group, members, context, policy)
 
@@ -309,6 +323,26 @@
         """Return the mean service time of a request class, in seconds."""
         return self._table.costs.mean_s(group, request_class, 0.0)
 
+    def estimate_response_s(self, group: str, request_class: str) -> float:
+        """Return the time within which most responses are complete, in seconds."""
+        return self._table.costs.response_s(group, request_class)
+
+    def estimate_room_s(self, group: str, request_class: str) -> float:
+        """Return the time until a new request would have a slot, in seconds."""
+        service_s = self._table.costs.mean_s(group, request_class)
+        slots = self._count_slots(group)
+        if self._free_slot_finder is None:
+            return estimate_wait(service_s, slots)
+        return self._free_slot_finder.estimate_room(group, service_s, slots)
+
+    def _count_slots(self, group: str) -> float:
+        """Return how many slots of a group serve the requests of this gateway.
+
+        These are its share of all slots, or those that it holds if they are more.
+        """
+        held = sum(view.in_flight for view in self._table.available(group))
+        return max(held, self._shares.gateway_share() * self._table.slots(group))
+
     def start_request(self, view: ServerView, request_class: str) -> None:
         """Count a request as in flight on a server."""
         view.start(request_class, self._timers.now())
--- a/tests/proxying/_data_path.py
+++ b/tests/proxying/_data_path.py
@@ -50,6 +50,12 @@
     def estimate_service_s(self, group, request_class):
         return 0.01
 
+    def estimate_response_s(self, group, request_class):
+        return 0.015
+
+    def estimate_room_s(self, group, request_class):
+        return 0.05
+
     def choose(self, group, request_class, excluded, deadline_s, trial=True):
         for view in self.views:
             if view.server_id not in excluded and self.accepts_requests(view):
@@ -106,6 +112,7 @@
     def __init__(self):
         self.requests = []
         self.released = 0
+        self.refusals = 0
         self.refuse = False
 
     async def admit(self, request):
@@ -114,6 +121,9 @@
             raise RefusedError("full", retry_after_s=0.4)
         return self
 
+    def observe_refusal(self):
+        self.refusals += 1
+
     def release(self, outcome):
         self.released += 1
 
--- a/tests/routing/test_asked_times.py
+++ b/tests/routing/test_asked_times.py
@@ -105,11 +105,20 @@
             look_candidates=3,
         )  # fmt: skip
 
+    def fill_servers(self):
+        """Let all servers answer probes that they are full."""
+
+        async def respond(view):
+            return {"in_flight": view.slots, "slots": view.slots}
+
+        self.router._free_slot_finder._on_demand_probes.start(respond)
+
     def test_request_that_waits_for_a_slot_is_refused_too(self):
         """Guards against callers held until the end of the longest wait."""
 
         async def wait():
             self.build_with_probes()
+            self.fill_servers()
             probing = asyncio.ensure_future(
                 self.router.probe_candidates("g", "c", (), 9.0, max_wait_s=5.0)
             )
