Shed load only after a request found no slot in its caller's time

Callers saw: while all slots were busy, requests were refused by rank, tenant or draw although their work would have fitted into their time.

Cause: the gate of a crowded group started at 0.92 requests per slot, and the threshold of requests without a sheet open when demand exceeded capacity for a moment. Both refuse by rates, which say nothing about the time that callers have. Waits were so short that refusals were the only way.

Change: both start once a request found no slot in its caller's time; full servers alone are no reason. They go on as before, so lasting overload is shed at once, for all gateways together, by rank and tenant. The utilization cap, a caller above its share and whole sheet opens are as before.

--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -328,6 +328,12 @@
             return rank
         recorded = self._sheet_decisions.find(pool.group, sheet, now) if sheet else None
         admitted = draw <= threshold if recorded is None else recorded
+        # A sheet is refused as a whole as soon as demand exceeds the capacity. Other
+        # requests wait while they find slots in their callers' time, unless their
+        # caller asks for more than its share or they would wait at the servers.
+        may_wait = not (sheet or pool.is_short or excess > 1)
+        if may_wait and draw <= pool.threshold.utilization_cap:
+            admitted = True
         return_s = 0.0 if admitted else self._estimate_return(pool)
         if sheet and recorded is None:
             self._sheet_decisions.record(pool.group, sheet, admitted, now)
--- a/src/geraniumbend/admission/_crowding_control.py
+++ b/src/geraniumbend/admission/_crowding_control.py
@@ -63,10 +63,24 @@
         self.active = False
         return True
 
-    def may_start(self, crowding: float | None, is_informed: bool) -> bool:
-        """Tell whether the control is active, or starts at the given crowding."""
-        margin = INFORMED_START_MARGIN if is_informed else START_MARGIN
-        return self.active or (crowding is not None and crowding > TARGET + margin)
+    def may_start(
+        self, crowding: float | None, is_informed: bool, is_short: bool
+    ) -> bool:
+        """Tell whether the control is active, or starts at the given crowding.
+
+        Full servers alone are no reason to start: while requests find slots in their
+        callers' time, all of them are served.
+
+        Parameters
+        ----------
+        crowding, is_informed, is_short
+            As in `update`.
+        """
+        if self.active or crowding is None:
+            return self.active
+        if is_informed:
+            return crowding > TARGET + INFORMED_START_MARGIN
+        return is_short and crowding > TARGET + START_MARGIN
 
     def update(
         self,
@@ -74,6 +88,7 @@
         crowding: float | None,
         model_share: float | None,
         is_informed: bool = False,
+        is_short: bool = False,
     ) -> None:
         """Adjust the admitted share.
 
@@ -87,6 +102,8 @@
             Capacity by slots divided by the offered work; None if that is unknown.
         is_informed : bool, default=False
             Whether other gateways have found a group crowded lately.
+        is_short : bool, default=False
+            Whether a request found no slot in its caller's time lately.
         """
         step_s = min(MAX_STEP_S, max(0.0, now - self._updated))
         self._updated = now
@@ -97,7 +114,7 @@
             return
         deviation = self._deviation = crowding - TARGET
         if not self.active:
-            if not self.may_start(crowding, is_informed):
+            if not self.may_start(crowding, is_informed, is_short):
                 return
             self.active = True
             self._share = 1.0 if model_share is None else min(1.0, model_share)
--- a/src/geraniumbend/admission/_rank_gate.py
+++ b/src/geraniumbend/admission/_rank_gate.py
@@ -52,6 +52,8 @@
         One divided by the number of gateways.
     is_informed : bool, default=False
         Whether other gateways have found a group crowded lately.
+    is_short : bool, default=False
+        Whether a request found no slot in its caller's time lately.
     """
 
     now: float
@@ -64,6 +66,7 @@
     others_age_s: float
     gateway_share: float
     is_informed: bool = False
+    is_short: bool = False
 
 
 class GateRequest(NamedTuple):
@@ -150,7 +153,9 @@
         model_share = capacity / fleet_total if fleet_total > 0 else None
         has_reports = inputs.crowding_age_s <= MAX_REPORT_AGE_S
         crowding = inputs.crowding if has_reports else None
-        self.control.update(inputs.now, crowding, model_share, inputs.is_informed)
+        self.control.update(
+            inputs.now, crowding, model_share, inputs.is_informed, inputs.is_short
+        )
         if not self.control.active:
             self._shares = {}
             return
--- a/src/geraniumbend/admission/_ranking.py
+++ b/src/geraniumbend/admission/_ranking.py
@@ -127,7 +127,8 @@
         was_active = gate.control.active
         decision = GateDecision("admit")
         crowding, _ = self._measure_crowding(request.group, now)
-        if gate.control.may_start(crowding, self._is_informed()):
+        is_short = self._is_short(request.group, now)
+        if gate.control.may_start(crowding, self._is_informed(), is_short):
             gate_request = GateRequest(cell, self._find_mix(cell, now))
             inputs = self._read_inputs(request.group, cell.group, now)
             decision = gate.decide(gate_request, inputs)
@@ -232,6 +233,7 @@
             others_age_s,
             self._shares.gateway_share(),
             self._is_informed(),
+            self._is_short(group, now),
         )
 
     def _measure_crowding(self, group: str, now: float) -> tuple[float | None, float]:
