Tell refused callers when there is room, within what they honour

Callers saw: after a burst all refused callers were told to return after half of a service time, whatever waited, and met the same refusal; those of crowded groups were told a third of their time left on every platform.

Cause: the delay was a share of the service time, or of the time that the callers of one platform honour, chosen by what a second refusal costs.

Where callers honour less, which the dialect of their platform states, they are told a delay spread over the half of it, so that they don't all return at its end.

--- a/src/geraniumbend/platform/_dialect.py
+++ b/src/geraniumbend/platform/_dialect.py
@@ -31,6 +31,7 @@
     """Header fields of the platform."""
 
     not_run_statuses = frozenset((408, 421, 429, 503))
+    honoured_share = 1 / 3
     request_id_header = REQUEST_ID
     tenant_header = TENANT
     dropped_from_requests = HOP_BY_HOP | frozenset(
--- a/src/geraniumbend/proxying/_dialect.py
+++ b/src/geraniumbend/proxying/_dialect.py
@@ -41,9 +41,13 @@
         or the gateway, or the gateway writes them itself.
     not_run_statuses : frozenset of int
         Statuses that callers understand as a promise that the request has not run.
+    honoured_share : float or None
+        Share of the time that they have left for which callers honour ``Retry-After``;
+        None if they return later with a new time limit.
     """
 
     not_run_statuses: frozenset[int]
+    honoured_share: float | None
     request_id_header: str
     tenant_header: str
     dropped_from_requests: frozenset[bytes]
@@ -137,6 +141,7 @@
 
     # Callers read `run` in the problem document instead of relying on the status.
     not_run_statuses: frozenset[int] = frozenset()
+    honoured_share: float | None = None
     request_id_header = "X-Request-Id"
     tenant_header = "X-Tenant"
     # The gateway writes its own values of these fields.
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import hmac
+import random
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 from geraniumbend.admission import AdmissionRequest
+from geraniumbend.caller_waits import limit_return
 from geraniumbend.errors import RefusedError
 from geraniumbend.logs import declare_event, log_event
 from geraniumbend.proxying._attempts import Attempts, LinkLostError
@@ -595,6 +597,12 @@
             if error.status in context.dialect.not_run_statuses:
                 error.status, error.retry_after_s = 502, None
         now = self._parts.timers.now()
+        share = context.dialect.honoured_share
+        if error.retry_after_s is not None and share is not None:
+            honoured_s = share * (context.deadline_s - now)
+            error.retry_after_s = limit_return(
+                error.retry_after_s, honoured_s, random.random()
+            )
         self._log.log_refusal(
             request_id=context.request.request_id,
             rule=context.rule.name,
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -77,5 +77,8 @@
             fields = {"Geraniumbend-Instance-Load": text}
             self.assertIsNone(self.dialect.read_report(fields), text)
 
+    def test_clients_honour_a_third_of_the_time_that_they_have_left(self):
+        self.assertAlmostEqual(self.dialect.honoured_share, 1 / 3)
+
     def test_retry_after_keeps_fractions(self):
         self.assertEqual(self.dialect.write_retry_after(0.25), "0.250")
