Let a repeated attempt wait for a slot as the first one does

Callers saw: a request that a server shed was refused at once if no slot was free at that moment, while one that arrived then waited for a slot.

Cause: only the first attempt waited.

Change: further attempts and replacements wait in line, in the place of their request's arrival. Hedges and takeovers don't wait, since their first attempt is still running.

--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -177,9 +177,16 @@
                 not_run = attempt.not_run
                 if response.status not in RETRIED_STATUSES and not not_run:
                     return attempt
-                if not_run and not attempt.resent:
-                    context.unresolved_attempts -= 1
-                successor = await self._begin_retry(context, not_run)
+                if not_run:
+                    # It runs nowhere, so it holds no slot while the next one waits.
+                    self.finish(attempt, context)
+                    if not attempt.resent:
+                        context.unresolved_attempts -= 1
+                try:
+                    successor = await self._begin_retry(context, not_run)
+                except BaseException:
+                    self.finish(attempt, context)
+                    raise
                 if successor is None and not not_run:
                     return attempt
                 self.finish(attempt, context)
@@ -563,7 +570,10 @@
     ) -> Attempt | None:
         if not (context.safe or not_run) or not self._may_retry(context):
             return None
-        await self.probe_candidates(context)
+        try:
+            await self._wait_for_slot(context)
+        except RefusedError:
+            return None
         return self._try_begin_attempt(context) if self._spend_retry(context) else None
 
     def _spend_retry(self, context: RequestContext) -> bool:
@@ -595,7 +605,10 @@
         if self._timers.now() >= context.deadline_s:
             return None
         self.check_key(context)
-        await self.probe_candidates(context)
+        try:
+            await self._wait_for_slot(context)
+        except RefusedError:
+            return None
         return self._try_begin_attempt(context)
 
     def _try_begin_attempt(
