Decide a refused sheet open anew when its callers return as told

Cause: two lifetimes that had nothing to do with what the caller was told.

Change: a refusal lasts for the shortest delay that its callers are told. The lifetime of an admission stays: the rest of an admitted sheet must follow it.

Result: test_refused_sheet_open_is_decided_anew_when_its_callers_return.

--- a/src/geraniumbend/admission/_admission.py
+++ b/src/geraniumbend/admission/_admission.py
@@ -336,7 +336,7 @@
             admitted = True
         return_s = 0.0 if admitted else self._estimate_return(pool)
         if sheet and recorded is None:
-            self._sheet_decisions.record(pool.group, sheet, admitted, now)
+            self._sheet_decisions.record(pool.group, sheet, admitted, now, return_s)
         if not admitted:
             cause = "demand exceeds the capacity of the group"
             raise self._refuse(pool, cause, return_s)
--- a/src/geraniumbend/admission/_sheet_opens.py
+++ b/src/geraniumbend/admission/_sheet_opens.py
@@ -7,11 +7,8 @@
 from xxhash import xxh64_intdigest
 
 MAX_DECISIONS = 20_000
-# An admitted sheet open stays admitted while its burst of requests lasts. A refused one
-# stays refused only briefly, so that callers that retry are admitted soon after the
-# overload has ended.
+# An admitted sheet open stays admitted while its burst of requests lasts, in seconds.
 ADMITTED_LIFETIME_S = 10.0
-REFUSED_LIFETIME_S = 1.0
 
 
 def shedding_rank(sheet: str) -> float:
@@ -48,13 +45,31 @@
     def find(self, group: str, sheet: str, now: float) -> bool | None:
         """Return the decision on a sheet open, or None if none is in force."""
         entry = self._decisions.get((group, sheet))
-        if entry is None or entry[1] < now:
+        if entry is None or entry[1] <= now:
             return None
         return entry[0]
 
-    def record(self, group: str, sheet: str, admitted: bool, now: float) -> None:
-        """Record the decision on a sheet open."""
-        expiry = now + (ADMITTED_LIFETIME_S if admitted else REFUSED_LIFETIME_S)
+    def record(
+        self, group: str, sheet: str, admitted: bool, now: float, return_s: float
+    ) -> None:
+        """Record the decision on a sheet open.
+
+        A refused one is decided anew once its callers return as they were told. Until
+        then the rest of its burst is refused as well, since an incomplete sheet is of
+        no use to its callers.
+
+        Parameters
+        ----------
+        group, sheet : str
+            Group, and identifier of the sheet open.
+        admitted : bool
+            Whether it is admitted.
+        now : float
+            Current time, in seconds.
+        return_s : float
+            Shortest time after which its callers are told to return, in seconds.
+        """
+        expiry = now + (ADMITTED_LIFETIME_S if admitted else return_s)
         self._decisions[(group, sheet)] = (admitted, expiry)
         self._decisions.move_to_end((group, sheet))
         if len(self._decisions) > MAX_DECISIONS:
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -6,6 +6,7 @@
 
 from geraniumbend.admission import Admission, AdmissionRequest, shedding_rank
 from geraniumbend.admission._admission import MAX_CALLER_SHARE
+from geraniumbend.admission._sheet_opens import SheetDecisionCache
 from geraniumbend.errors import RefusedError
 from geraniumbend.routing import LoadReport, ServerTable
 from geraniumbend.timers import ManualTimers
@@ -123,6 +124,14 @@
         self.assertTrue(all(task.done() for task in first))
         self.assertEqual([task.done() for task in queued[1:]], [False, True, True])
 
+    async def test_refused_sheet_open_is_decided_anew_when_its_callers_return(self):
+        """Guards against a sheet that stays refused when its callers come as told."""
+        cache = SheetDecisionCache()
+        cache.record("g", "s", False, 10.0, 0.4)
+        # The rest of its burst is refused with it.
+        self.assertIs(cache.find("g", "s", 10.3), False)
+        self.assertIsNone(cache.find("g", "s", 10.4))
+
     async def test_requests_without_a_sheet_open_wait_in_order_of_arrival(self):
         """Guards against waiting requests that later ones overtake by a draw."""
         admission = self.build(gateways=90)
