Start hedges and takeovers by the caller's time, not by the objective

Callers saw: the same request got a second server after 0.55 of its route's objective, so a short objective doubled work that was not slow, and a long one left callers with a hanging server while few latencies were known.

Cause: the delay was a share of the objective.

Change: a hedge starts after the quantile of the latencies, or earlier if no other server could answer in the caller's time otherwise; a takeover likewise.

--- a/src/geraniumbend/proxying/_attempts.py
+++ b/src/geraniumbend/proxying/_attempts.py
@@ -110,7 +110,7 @@
         servers_may_hang: bool = False,
         may_write: Callable[[], bool] | None = None,
     ) -> None:
-        self.hedging = hedging or Hedging(latencies, router)
+        self.hedging = hedging or Hedging(latencies, router, timers)
         self._authenticator = authenticator
         self._takeover = None
         if servers_may_hang:
--- a/src/geraniumbend/proxying/_hedging.py
+++ b/src/geraniumbend/proxying/_hedging.py
@@ -4,12 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from geraniumbend.caller_waits import compute_max_wait
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from geraniumbend.proxying._context import RequestContext
     from geraniumbend.proxying._latencies import HeadLatencies
     from geraniumbend.proxying._ports import HedgeBudgetPort, RouterPort
+    from geraniumbend.timers import TimerService
 
 
 class Hedging:
@@ -23,6 +26,8 @@
         Recent latencies of response heads.
     router : Router
         Service times.
+    timers : TimerService
+        Clock.
     ratio : float, default=0.0
         Extra work allowed by the settings, as a share of requests and of server time;
         0 sets no budget.
@@ -36,12 +41,14 @@
         self,
         latencies: HeadLatencies,
         router: RouterPort,
+        timers: TimerService,
         ratio: float = 0.0,
         budget: HedgeBudgetPort | None = None,
         count_quota: Callable[[RequestContext], Awaitable[bool]] | None = None,
     ) -> None:
         self._latencies = latencies
         self._router = router
+        self._timers = timers
         self._ratio = ratio
         self._budget = budget
         self._count_quota = count_quota
@@ -50,8 +57,8 @@
         """Return the time after which a request is hedged, None if it never is.
 
         With a budget, the delay is the quantile of the recent latencies that as many
-        requests exceed as the budget allows hedges, or earlier where the objective
-        would be missed otherwise.
+        requests exceed as the budget allows hedges, or earlier where no other server
+        could answer in the caller's time otherwise.
         """
         rule = context.rule
         is_hedgeable = (
@@ -67,12 +74,26 @@
         if ratio and self._budget is not None and context.attempts <= 1:
             service_s = self._estimate_service_s(context)
             self._budget.record_request(context.group, service_s, ratio)
-        return self._latencies.hedge_delay(
+        delay_s = self._latencies.hedge_delay(
             context.group,
             rule.request_class,
-            rule.objective_s,
             1 - ratio if ratio else None,
         )
+        latest_s = self._find_latest_s(context)
+        if not latest_s:
+            return delay_s
+        return latest_s if delay_s is None else min(delay_s, latest_s)
+
+    def _find_latest_s(self, context: RequestContext) -> float:
+        """Return the latest time at which a hedge can be answered in time, in seconds.
+
+        0 if there is none, or if the time that a response needs is unknown.
+        """
+        rule = context.rule
+        response_s = self._router.estimate_response_s(context.group, rule.request_class)
+        if not response_s:
+            return 0.0
+        return compute_max_wait(context.deadline_s - self._timers.now(), response_s)
 
     def allows(self, context: RequestContext) -> bool:
         """Tell whether the budget has room for a hedge, without spending it."""
--- a/src/geraniumbend/proxying/_latencies.py
+++ b/src/geraniumbend/proxying/_latencies.py
@@ -7,14 +7,11 @@
 # Samples between two computations of the quantile.
 UPDATE_PERIOD_SAMPLES = 32
 QUANTILE = 0.95
-# Silence timeout in seconds while there are too few samples for a quantile. Without an
-# objective no hedge starts then, because its delay would be a guess.
+# Silence timeout in seconds while there are too few samples for a quantile.
 DEFAULT_SILENCE_TIMEOUT_S = 0.5
 MIN_SILENCE_TIMEOUT_S = 0.25
 # Silence timeout as a multiple of the quantile.
 SILENCE_TIMEOUT_FACTOR = 3.0
-# Share of the objective after which a hedge still has time to meet it.
-HEDGE_OBJECTIVE_SHARE = 0.55
 
 
 class _Samples:
@@ -59,21 +56,17 @@
             samples.quantile_s = samples.read_quantile_s(QUANTILE)
 
     def hedge_delay(
-        self,
-        group: str,
-        request_class: str,
-        objective_s: float = 0.0,
-        quantile: float | None = None,
+        self, group: str, request_class: str, quantile: float | None = None
     ) -> float | None:
         """Return the time after which a hedge starts, in seconds.
 
+        A response that takes longer than nearly all others is likely to come sooner
+        from another server.
+
         Parameters
         ----------
         group, request_class : str
             Group and class of the request.
-        objective_s : float, default=0.0
-            Time within which the rule wants a response, in seconds; the hedge starts
-            early enough to meet it. 0 if the rule has none.
         quantile : float or None, default=None
             Quantile of the latencies after which a hedge starts; the 95th percentile
             when None.
@@ -81,19 +74,14 @@
         Returns
         -------
         float or None
-            The smaller one of the quantile and a share of the objective; None if
-            neither is known.
+            None while there are too few samples; the delay would be a guess.
         """
         samples = self._samples.get((group, request_class))
-        latest_s = HEDGE_OBJECTIVE_SHARE * objective_s if objective_s else None
         if samples is None or samples.count < UPDATE_PERIOD_SAMPLES:
-            return latest_s
-        delay_s = (
-            samples.quantile_s
-            if quantile is None
-            else samples.read_quantile_s(quantile)
-        )
-        return delay_s if latest_s is None else min(delay_s, latest_s)
+            return None
+        if quantile is None:
+            return samples.quantile_s
+        return samples.read_quantile_s(quantile)
 
     def silence_timeout(self, group: str, request_class: str) -> float:
         """Return the time without a byte that makes a connection suspect, in seconds.
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -193,7 +193,12 @@
         self._log = RequestLog(parts.timers)
         latencies = HeadLatencies()
         hedging = Hedging(
-            latencies, parts.router, hedge_ratio, parts.hedge_budget, self._count_hedge
+            latencies,
+            parts.router,
+            parts.timers,
+            hedge_ratio,
+            parts.hedge_budget,
+            self._count_hedge,
         )
         self._attempts = Attempts(
             parts.router,
--- a/src/geraniumbend/proxying/_takeover.py
+++ b/src/geraniumbend/proxying/_takeover.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from geraniumbend.caller_waits import compute_max_wait
+
 if TYPE_CHECKING:
     from geraniumbend.proxying._attempt import Attempt
     from geraniumbend.proxying._context import RequestContext
@@ -14,8 +16,6 @@
 # Time without a byte after which a request may be lost, as a multiple of the 95th
 # percentile of its class. Work on a shared host varies by about this factor.
 TAIL_FACTOR = 1.5
-# Time that a response of another server takes, as a multiple of the mean service time.
-SERVICE_TIME_FACTOR = 1.5
 # Time without a byte after which a request is lost whatever the server reports, as a
 # multiple of the 95th percentile. A few requests in a hundred take that long.
 LOST_FACTOR = 3.0
@@ -58,9 +58,10 @@
         Returns
         -------
         float or None
-            Delay in seconds, early enough to meet the objective if the tail of the
-            class allows it; None if the request may not be repeated, too few latencies
-            of its class are known, or its server has room by a recent report.
+            Delay in seconds, early enough for a response in the caller's time if the
+            tail of the class allows it; None if the request may not be repeated, too
+            few latencies of its class are known, or its server has room by a recent
+            report.
         """
         rule = context.rule
         if not context.safe or context.source is not None:
@@ -70,15 +71,10 @@
         tail_s = self._latencies.hedge_delay(context.group, rule.request_class)
         if tail_s is None or not self._router.may_hang(attempt.view):
             return None
-        delay_s = TAIL_FACTOR * tail_s
-        if rule.objective_s:
-            service_s = self._router.estimate_service_s(
-                context.group, rule.request_class
-            )
-            spent_s = self._timers.now() - context.started_s
-            latest_s = rule.objective_s - SERVICE_TIME_FACTOR * service_s - spent_s
-            delay_s = max(tail_s, min(delay_s, latest_s))
-        return delay_s
+        response_s = self._router.estimate_response_s(context.group, rule.request_class)
+        left_s = context.deadline_s - self._timers.now()
+        latest_s = compute_max_wait(left_s, response_s)
+        return max(tail_s, min(TAIL_FACTOR * tail_s, latest_s))
 
     def report(self, attempt: Attempt, context: RequestContext) -> None:
         """Report the server of an attempt that ended without a byte, if it may hang."""
