Wait for permits by the caller's time; return when the quota has room

Callers saw: a request whose allocator was lost got 429 after 0.2 s although its caller had seconds and a successor was chosen within one. Far above a quota, callers were told to return within the objective, to the same refusal.

Cause: PERMIT_WAIT_S was reasoned with one deployment's objective (624 ms), and the returns with answers that are late for it.

Change: an allocator that is silent for 0.3 s is given up as before; a request that the gateway does not admit alone then waits for the successor, for 3 s at most and as long as it can be answered in its caller's time. A used quota is still refused at once. Retry-After is the time until there is room, and half of it more at random.

--- a/src/geraniumbend/quotas/_account.py
+++ b/src/geraniumbend/quotas/_account.py
@@ -10,7 +10,13 @@
 from geraniumbend.quotas._local_share import LocalShare, ShareSteps
 from geraniumbend.quotas._messages import ALLOCATORS_PER_TENANT
 from geraniumbend.quotas._refusals import build_refusal
-from geraniumbend.quotas._stream import ASK_TIMEOUT_S, Permit, Stream
+from geraniumbend.quotas._stream import (
+    ASK_AGAIN_S,
+    ASK_TIMEOUT_S,
+    SILENCE_S,
+    Permit,
+    Stream,
+)
 
 if TYPE_CHECKING:
     import random
@@ -21,10 +27,6 @@
     from geraniumbend.quotas._refusals import RefusalReason
     from geraniumbend.timers import TimerService
 
-# Longest wait of a request for a permit, in seconds. Allocators without permits say so
-# at once; only a late answer takes this long, from a gateway that is busy. A response
-# within the objective (624 ms) is worth more than an earlier refusal.
-PERMIT_WAIT_S = 0.2
 # Reports of one gateway to one allocator of a tenant are at least this far apart, in
 # seconds. A tenant that sends all its requests through one gateway needs no message
 # for each.
@@ -42,6 +44,9 @@
 # own demand.
 AHEAD_S = 0.25
 DEMAND_MEMORY_S = 1.0
+# Time in seconds within which a lost allocator is suspected and replaced. Requests wait
+# that long for its successor, as far as their callers have time.
+REPLACEMENT_S = 3.0
 # Part of its even share of the rate that a gateway admits on its own while one
 # allocator or both are silent, by the time alone in seconds up to which it holds. When
 # a third of the gateways is cut off together with both allocators, it goes on with the
@@ -141,13 +146,13 @@
         self._demand_at = timers.now()
         self._flush_due = False
 
-    async def admit(self, spare_s: float = 0.0) -> QuotaTicket:
+    async def admit(self, max_wait_s: float = math.inf) -> QuotaTicket:
         """Count a request.
 
         Parameters
         ----------
-        spare_s : float, default=0.0
-            Time for which the request can wait and still meet its objective, in
+        max_wait_s : float, default=inf
+            Time for which the request can wait and be answered in its caller's time, in
             seconds.
 
         Raises
@@ -161,13 +166,19 @@
         if self._is_unrestricted(now) and self._has_credit():
             return self._use(now)
         permit = self._take_permit(now)
-        is_late = False
-        if permit is None:
-            permit, is_late = await self._wait_for_permit(now)
-        if permit is not None:
-            self.totals["permit"] += 1
-            return QuotaTicket(permit.stream, permit.session)
-        return self._admit_alone("late" if is_late else "used", spare_s)
+        # Each request waits for an answer that comes in the usual time.
+        ends_at = now + max(ASK_TIMEOUT_S, max_wait_s)
+        while permit is None:
+            permit, is_late = await self._wait_for_permit(ends_at)
+            if permit is None:
+                ticket = self._admit_alone("late" if is_late else "used", ends_at)
+                if ticket is not None:
+                    return ticket
+                await self._timers.sleep(ASK_AGAIN_S)
+                self._connect()
+                permit = self._take_permit(self._timers.now())
+        self.totals["permit"] += 1
+        return QuotaTicket(permit.stream, permit.session)
 
     def accept(self, sender: str, state: QuotaState) -> None:
         """Apply an answer of an allocator."""
@@ -298,15 +309,22 @@
                 return
         self._permits.append(permit)
 
-    async def _wait_for_permit(self, now: float) -> tuple[Permit | None, bool]:
-        """Ask the allocators; return a permit, and whether an answer came too late."""
+    async def _wait_for_permit(self, ends_at: float) -> tuple[Permit | None, bool]:
+        """Ask the allocators; return a permit, and whether an answer came too late.
+
+        Allocators without permits say so at once. One that has not answered within
+        `SILENCE_S` counts as silent, and the request is decided without it.
+        """
+        now = self._timers.now()
+        ends_at = min(ends_at, now + SILENCE_S)
         waiter: asyncio.Future[Permit | None]
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
         self._ask_for_waiters(now)
         try:
-            while not waiter.done() and self._timers.now() < now + PERMIT_WAIT_S:
-                await self._wait(waiter, ASK_TIMEOUT_S)
+            while not waiter.done() and self._timers.now() < ends_at:
+                left_s = ends_at - self._timers.now()
+                await self._wait(waiter, min(ASK_TIMEOUT_S, left_s))
                 if not waiter.done():
                     self._ask_for_waiters(self._timers.now())
         except asyncio.CancelledError:
@@ -360,15 +378,20 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    def _admit_alone(self, reason: RefusalReason, spare_s: float) -> QuotaTicket:
+    def _admit_alone(self, reason: RefusalReason, ends_at: float) -> QuotaTicket | None:
         """Admit a request without an allocator's consent where allocators are silent.
 
         Parameters
         ----------
         reason : {"used", "late"}
             Why there is no permit, where allocators are not silent.
-        spare_s : float
-            As in `admit`.
+        ends_at : float
+            Reading of the clock up to which the request can wait.
+
+        Returns
+        -------
+        QuotaTicket or None
+            None if the request waits on for allocators that are being replaced.
 
         Raises
         ------
@@ -379,27 +402,30 @@
         missing = self._list_missing(now)
         if not missing:
             self._local.end()
-            raise self._refuse(reason, spare_s)
+            raise self._refuse(reason)
         steps = ALONE_SHARES[len(missing) - 1]
         rate = self.tenant.rate_per_s / self._port.count_gateways()
-        if not self._local.try_take(now, min(missing), rate, steps):
-            is_alone = len(missing) == ALLOCATORS_PER_TENANT
-            raise self._refuse("silent" if is_alone else reason, spare_s)
-        self.totals["alone"] += 1
-        return QuotaTicket(None)
+        if self._local.try_take(now, min(missing), rate, steps):
+            self.totals["alone"] += 1
+            return QuotaTicket(None)
+        is_replaced_soon = now - min(missing) < REPLACEMENT_S
+        if is_replaced_soon and now + ASK_AGAIN_S < ends_at:
+            return None
+        is_alone = len(missing) == ALLOCATORS_PER_TENANT
+        raise self._refuse("silent" if is_alone else reason)
 
     def _list_missing(self, now: float) -> list[float]:
         """Return since when allocators are silent or new."""
         since = [stream.find_missing_since(now) for stream in self._streams]
         return [reading for reading in since if reading is not None]
 
-    def _refuse(self, reason: RefusalReason, spare_s: float) -> RefusedError:
+    def _refuse(self, reason: RefusalReason) -> RefusedError:
         """Return the refusal of a request above the quota, and count it."""
         self._refused += 1
         self.totals[f"refused_{reason}"] += 1
         waits = [stream.wait_s for stream in self._streams if stream.wait_s]
         wait_s = min(waits, default=0.0)
-        return build_refusal(self.tenant, reason, wait_s, self._rng, spare_s)
+        return build_refusal(self.tenant, reason, wait_s, self._rng)
 
     def _record_demand(self, now: float) -> None:
         self._demand = self._read_demand(now) + 1.0
--- a/src/geraniumbend/quotas/_refusals.py
+++ b/src/geraniumbend/quotas/_refusals.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Literal
 
+from geraniumbend.caller_waits import spread_return
 from geraniumbend.errors import RefusedError
 
 if TYPE_CHECKING:
@@ -17,10 +18,7 @@
     "late": "the allocators of the quota of tenant {!r} answer too late",
     "silent": "no allocator of the quota of tenant {!r} answers",
 }
-MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
-# Part of the time that a request can wait after which its caller returns at the latest.
-SPARE_SHARES = (0.5, 1.0)
 
 
 def build_refusal(
@@ -28,7 +26,6 @@
     reason: RefusalReason,
     wait_s: float,
     rng: random.Random,
-    spare_s: float,
 ) -> RefusedError:
     """Return the refusal of a request.
 
@@ -42,15 +39,9 @@
         Time until the requests refused lately would have been admitted, in seconds.
     rng : random.Random
         Spreads the returns of the callers.
-    spare_s : float
-        Time for which the request can wait and still meet its objective, in seconds; 0
-        if it cannot. While a tenant is far above its quota, a request that returns has
-        the same chance whenever it returns, but after this time its response is late.
     """
     wait_s = max(1 / tenant.rate_per_s, wait_s)
-    delay_s = max(MIN_RETRY_AFTER_S, wait_s * rng.uniform(0.5, 1.5))
-    if spare_s > MIN_RETRY_AFTER_S:
-        delay_s = min(delay_s, spare_s * rng.uniform(*SPARE_SHARES))
+    delay_s = spread_return(wait_s, rng.random())
     return RefusedError(
         CAUSES[reason].format(tenant.name),
         "send the request again after the given time",
--- a/src/geraniumbend/quotas/_tenant_quotas.py
+++ b/src/geraniumbend/quotas/_tenant_quotas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -180,15 +181,17 @@
                 account.close()
                 del self._accounts[name]
 
-    async def admit(self, tenant: Tenant, spare_s: float = 0.0) -> QuotaTicket | None:
+    async def admit(
+        self, tenant: Tenant, max_wait_s: float = math.inf
+    ) -> QuotaTicket | None:
         """Count a request of a tenant.
 
         Parameters
         ----------
         tenant : Tenant
             Tenant of the request.
-        spare_s : float, default=0.0
-            Time for which the request can wait and still meet its objective, in
+        max_wait_s : float, default=inf
+            Time for which the request can wait and be answered in its caller's time, in
             seconds.
 
         Returns
@@ -209,7 +212,7 @@
         if account is None:
             account = TenantAccount(limited, self, self._timers, self._rng)
             self._accounts[tenant.name] = account
-        return await account.admit(spare_s)
+        return await account.admit(max_wait_s)
 
     def refund(self, ticket: Refundable | None) -> None:
         """Return what a request has used that was never run."""
