Don't hold requests where there is no server to wait for

Cause: the line waited for a free slot without asking whether there is a server, and refused at the end of the wait without fresh reports.

Change: without servers the choice says so at once; at the end of a wait only fresh reports of full servers refuse.

Result: two tests in tests.routing.test_on_demand_probes.

--- a/src/geraniumbend/_model.py
+++ b/src/geraniumbend/_model.py
@@ -201,7 +201,7 @@
     idempotent : bool or None, default=None
         Whether requests may be retried; decided by the method when None.
     objective_s : float, default=0.0
-        Response time up to which a response has its full value, in seconds; 0 when
+        Response time that the operator aims for, in seconds, shown in logs; 0 when
         unknown.
     wait_limit_s : float, default=0.0
         Longest time that a caller waits, in seconds; 0 when only the deadline
--- a/src/geraniumbend/routing/_free_slot_finder.py
+++ b/src/geraniumbend/routing/_free_slot_finder.py
@@ -156,7 +156,9 @@
                 if has_slot:
                     return is_found
                 if self._timers.now() + PROBE_PAUSE_S > latest_s:
-                    raise self._refuse(search)
+                    if self._are_full(search.list_members()):
+                        raise self._refuse(search)
+                    return False
                 await self._timers.sleep(PROBE_PAUSE_S)
                 line.review(group, search.count_slots())
         finally:
@@ -170,13 +172,15 @@
         """
         context = search.build_context()
         now = context.now
+        members = search.list_members()
         slowdowns = [
             view.estimate_slowdown(now, context.slowdown)
-            for view in search.list_members()
+            for view in members
             if self._may_have_slot(view, context)
         ]
         if not slowdowns:
-            return False
+            # Nothing to wait for if there are no servers; the choice says why.
+            return not members
         slowdown = min(slowdowns)
         if self._line.count(search.group) == 1:
             # Nobody else loses time. The last free slots slow down all of a server.
--- a/tests/routing/test_on_demand_probes.py
+++ b/tests/routing/test_on_demand_probes.py
@@ -112,6 +112,28 @@
         self.assertGreater(slow_s, 0.3)
         self.assertLess(slow_s, 0.6)
 
+    async def test_request_does_not_wait_where_there_is_no_server(self):
+        """Guards against callers that are held to the end and then refused."""
+        self.build(2)
+        started = self.timers.now()
+        tried = ("s0", "s1")
+        self.assertFalse(await self.router.probe_candidates("g", "c", tried, 2.0, 1.0))
+        self.assertLess(self.timers.now() - started, 0.1)
+        with self.assertRaises(RefusedError) as caught:
+            self.router.choose("g", "c", tried, 1.0)
+        self.assertEqual(caught.exception.kind, "no_backend_server")
+
+    async def test_servers_that_stop_to_answer_probes_are_not_taken_for_full(self):
+        """Guards against refusals by reports that are old at the end of a wait."""
+        self.build(2)
+        self.loads.update(s0=(4, 1.0), s1=(4, 1.0))
+        waiting = asyncio.ensure_future(
+            self.router.probe_candidates("g", "c", (), 2.0, 0.5)
+        )
+        await asyncio.sleep(0.1)
+        self.unresponsive = {"s0", "s1"}
+        self.assertFalse(await waiting)
+
     async def test_request_does_not_wait_for_servers_that_are_not_known_to_be_full(
         self,
     ):
