Keep one time constant of the demand that decides

Cause: the delay of refused callers repeated it as a figure of its own. Change: the gate declares it, and the ranking uses it.

--- a/src/geraniumbend/admission/_rank_gate.py
+++ b/src/geraniumbend/admission/_rank_gate.py
@@ -21,9 +21,9 @@
 # A tenant is admitted at least this often in relation to all requests together. The
 # users are promised a quarter; the rest is a margin for the error of the estimates.
 FLOOR_SHARE = 0.3
-# Delay in seconds after which a refused caller returns at the earliest. The demand that
-# decides is an average over about this time, so a decision before is likely the same.
-RETURN_S = 2.0
+# Time constant in seconds of the demand that decides. A caller that returns sooner is
+# likely to meet the same decision.
+DEMAND_S = 2.0
 
 
 class GateInputs(NamedTuple):
@@ -137,7 +137,7 @@
         share = self.find_share(request)
         if self._random.random() < share:
             return GateDecision("wait", share=share)
-        delay_s = spread_return(RETURN_S, self._random.random())
+        delay_s = spread_return(DEMAND_S, self._random.random())
         return GateDecision("refuse", delay_s, share)
 
     def update(self, inputs: GateInputs) -> None:
--- a/src/geraniumbend/admission/_ranking.py
+++ b/src/geraniumbend/admission/_ranking.py
@@ -8,6 +8,7 @@
 
 from geraniumbend.admission._demand_exchange import DemandExchange
 from geraniumbend.admission._rank_gate import (
+    DEMAND_S,
     GateDecision,
     GateInputs,
     GateRequest,
@@ -33,9 +34,8 @@
     from geraniumbend.routing import ServerTable
     from geraniumbend.timers import TimerService
 
-# Time constants of the demand that decides, of that which decides without sums, and of
-# the usual mix of ranks of a tenant, in seconds.
-DEMAND_S = 2.0
+# Time constants of the demand that decides without sums, and of the usual mix of ranks
+# of a tenant, in seconds.
 USUAL_S = 8.0
 MIX_S = 30.0
 # Work of a request of a class that was not measured yet, in seconds.
--- a/tests/admission/test_ranking.py
+++ b/tests/admission/test_ranking.py
@@ -14,14 +14,18 @@
     ROW_KIND,
     DemandExchange,
 )
-from geraniumbend.admission._rank_gate import GateInputs, GateRequest, RankGate
+from geraniumbend.admission._rank_gate import (
+    DEMAND_S,
+    GateInputs,
+    GateRequest,
+    RankGate,
+)
 from geraniumbend.admission._ranked_demand import (
     REST,
     Cell,
     decode_rates,
     encode_rates,
 )
-from geraniumbend.admission._ranking import DEMAND_S
 from geraniumbend.admission._share_filling import divide_capacity
 from geraniumbend.routing import LoadReport, ServerTable
 from tests.admission.crowded_group import (
