Let tests wait until gateways have a configuration and servers

Cause: a gateway is ready without a configuration while none is acknowledged, and answers 503 then, as the pages allow. The test waited for readiness and for the servers that the membership knows, not for the revision and the routing table.

Change: wait_until_configured waits for both readiness and a revision; three tests wait for the routing table. No check or bound is changed.

--- a/tests/platform/_deployment.py
+++ b/tests/platform/_deployment.py
@@ -91,6 +91,14 @@
                     return
                 await asyncio.sleep(0.05)
 
+    async def wait_until_configured(self, gateway):
+        """Wait until a gateway is ready and has a configuration.
+
+        It may be ready without one while none is acknowledged, and then answers 503.
+        """
+        view = gateway._configuration_view
+        await self.wait_until(lambda: gateway.is_ready() and view.current.revision > 0)
+
     def _build_settings(self, name, number, listen, bootstrap, folder):
         given = {
             "node-name": name,
--- a/tests/platform/test_callers_time.py
+++ b/tests/platform/test_callers_time.py
@@ -87,7 +87,7 @@
         await super().asyncSetUp()
         self.gateway = await self.deployment.start_gateway(11)
         await self.put_configuration(build_document(build_routes()))
-        await self.deployment.wait_until(self.gateway.is_ready)
+        await self.deployment.wait_until_configured(self.gateway)
         self.servers = [SlotServer(f"i-{number}") for number in range(SERVERS)]
         for server in self.servers:
             backend = ScriptedBackend(server.respond)
@@ -95,7 +95,7 @@
             self.addAsyncCleanup(backend.__aexit__)
             await self.send_heartbeat(server.name, backend.port, 1)
         await self.deployment.wait_until(
-            lambda: len(self.gateway._membership.servers()) == SERVERS
+            lambda: len(self.gateway._table.available("one")) == SERVERS
         )
         await self.wait_for_status(f"/safe-{OBJECTIVES_MS[0]}/x", 200)
         for objective_ms in OBJECTIVES_MS:
--- a/tests/platform/test_cold_servers.py
+++ b/tests/platform/test_cold_servers.py
@@ -40,7 +40,7 @@
         gateway = await deployment.start_gateway(11)
         document = build_document(ROUTES, "r1", services=SERVICES)
         await self.put_configuration(document)
-        await deployment.wait_until(gateway.is_ready)
+        await deployment.wait_until_configured(gateway)
         # A host that has not applied the configuration yet drops the time; the next
         # heartbeat carries it.
         store = deployment.controls[1]._store
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -54,7 +54,7 @@
         deployment = self.deployment
         gateway = await deployment.start_gateway(11)
         await self.put_configuration(build_document(ROUTES, "r1"))
-        await deployment.wait_until(gateway.is_ready)
+        await deployment.wait_until_configured(gateway)
         async with AsyncExitStack() as stack:
             backends = await self.start_backends(stack)
             await self.wait_for_status("/p/x", 200)
@@ -82,7 +82,7 @@
         deployment = self.deployment
         gateway = await deployment.start_gateway(11)
         await self.put_configuration(build_document(ROUTES))
-        await deployment.wait_until(gateway.is_ready)
+        await deployment.wait_until_configured(gateway)
         begin_run = gateway._quarantine.begin_run
         view = gateway._configuration_view
         chosen = []
@@ -121,7 +121,7 @@
         async with AsyncExitStack() as stack:
             backends = await self.start_backends(stack)
             gateway = await deployment.start_gateway(11)
-            await deployment.wait_until(gateway.is_ready)
+            await deployment.wait_until_configured(gateway)
             await self.wait_for_status("/p/x", 200)
             await self.count_new_requests(backends["west"])
             self.assertEqual(count_requests(backends["east"]), 0)
--- a/tests/platform/test_lost_links.py
+++ b/tests/platform/test_lost_links.py
@@ -128,9 +128,9 @@
             path = f"/-/instances/i-{number}/heartbeat"
             await deployment.call_control("POST", path, body)
         for gateway in deployment.gateways.values():
-            await deployment.wait_until(gateway.is_ready)
+            await deployment.wait_until_configured(gateway)
             await deployment.wait_until(
-                lambda gateway=gateway: len(gateway._membership.servers()) == 4
+                lambda gateway=gateway: len(gateway._table.available("one")) == 4
             )
         self.links.peer_ports = {
             gateway._forward_listener.port for gateway in deployment.gateways.values()
--- a/tests/platform/test_server_limit.py
+++ b/tests/platform/test_server_limit.py
@@ -61,7 +61,7 @@
 
         await deployment.wait_until(accepted)
         for gateway in deployment.gateways.values():
-            await deployment.wait_until(gateway.is_ready)
+            await deployment.wait_until_configured(gateway)
 
     async def send_traffic(self, duration_s):
         """Send requests at a steady rate, most of them to the first gateway."""
--- a/tests/platform/test_tenant_quotas.py
+++ b/tests/platform/test_tenant_quotas.py
@@ -93,11 +93,11 @@
             rows = [["a", ["busy"], RATE_PER_S, BURST], ["b", ["other"], 20.0, 20.0]]
             await self.configure("r1", *rows)
             for gateway in deployment.gateways.values():
-                await deployment.wait_until(gateway.is_ready)
+                await deployment.wait_until_configured(gateway)
             await self.announce(server.port)
             await deployment.wait_until(
                 lambda: all(
-                    gateway._membership.servers()
+                    gateway._table.available("one")
                     for gateway in deployment.gateways.values()
                 )
             )
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -77,7 +77,7 @@
         }
         await deployment.call_control("POST", "/-/instances/i-1/heartbeat", body)
         for gateway in gateways:
-            await deployment.wait_until(gateway.is_ready)
+            await deployment.wait_until_configured(gateway)
         for host in (11, 12):
 
             async def serves(host=host):
@@ -138,5 +138,5 @@
     async def check_restarted(self):
         """Start a gateway again: it asks for the revision before it listens."""
         gateway = await self.deployment.start_gateway(11)
-        await self.deployment.wait_until(gateway.is_ready)
+        await self.deployment.wait_until_configured(gateway)
         self.assertEqual(await self.get("/p/x", REMOVED), 401)
