Close connections of callers only after their last response arrived

Cause: a connection whose response ends it was closed as soon as the kernel had taken the last byte. A pipelined request that arrives while the kernel still transmits makes it reset the connection and discard the rest of the response.

Change: all connections end in one way. The sending side is shut down, and what arrives is discarded until the caller closes, within bounds of bytes, time and lack of progress that count looks instead of elapsed time. Requests behind one whose response may end the connection are no longer started. This covers the caller's Connection: close, HTTP/1.0, idle timeouts, idle connections in a stop, refused uploads, the management and announcement addresses and the operators' API.

--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -14,6 +14,7 @@
 from aiohttp.web_protocol import RequestPayloadError, _ErrInfo
 
 from geraniumbend.adapters._caller_request import HttpCallerRequest
+from geraniumbend.adapters._connection_ends import log_close_at_risk
 from geraniumbend.adapters._guarded_handler import GuardedHandler
 from geraniumbend.errors import RefusedError
 from geraniumbend.logs import declare_event, log_event
@@ -29,10 +30,6 @@
 
     from geraniumbend.adapters._http_listener import CallerServer
 
-# Lingering close: after a refusal, the rest of the request is read and discarded for
-# this time. Otherwise unread bytes would make the kernel reset the connection before
-# the caller has read the refusal.
-LINGER_S = 1.0
 # Time in seconds in which a new connection is not closed as idle, since the first
 # request of its caller may be on its way.
 FIRST_REQUEST_TIMEOUT_S = 0.5
@@ -86,11 +83,11 @@
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._body: Any = EMPTY_PAYLOAD
-        self._lingering = False
         self._pipelined: deque[_PipelinedRequest] = deque()
         self._waiting_responses = 0
         # The request that the connection's task handles, and whether it is given up.
         self._request: HttpCallerRequest | None = None
+        self._last_started: HttpCallerRequest | None = None
         self._is_given_up = False
         self._opened_at = self._loop.time()
         self._has_received = False
@@ -141,6 +138,8 @@
         waiting = self._messages or self._pipelined or self._unparsed
         if self.busy or waiting or self._head_bytes or self.transport is None:
             return False
+        if self._lingers:
+            return False
         age_s = self._loop.time() - self._opened_at
         if not self._has_received and age_s < FIRST_REQUEST_TIMEOUT_S:
             return False
@@ -149,9 +148,15 @@
         poll.register(raw_socket.fileno(), select.POLLIN)
         if poll.poll(0):
             return False
-        self.force_close()
+        self._end_idle()
         return True
 
+    def close_at_limit(self) -> None:
+        """Close the connection since the time of a stop has ended."""
+        if self.transport is not None:
+            log_close_at_risk(self.transport, self._listener, "grace_time")
+        self.force_close()
+
     def has_started_requests(self) -> bool:
         """Return whether requests behind the open one are handled already."""
         return bool(self._pipelined)
@@ -192,7 +197,7 @@
                 if not (self._pipelined or self._messages):
                     await self._wait_for_message()
                     if not self._messages:
-                        # The account has closed the connection meanwhile.
+                        # It was idle for too long, or the account has closed it.
                         break
                 self.busy = True
                 try:
@@ -200,22 +205,26 @@
                 finally:
                     self.busy = False
                     self._body = EMPTY_PAYLOAD
+                    if not self._pipelined:
+                        self._last_started = None
                     self.note_request_end()
                 if not keep:
                     break
                 if self._paused and not await self._wait_until_read():
                     break
                 self._restart_keepalive()
-            await self._linger()
+            self._cancel_pipelined()
+            limits = self.server.limits
+            await self.linger(limits.body_idle_timeout_s, limits.body_limit_bytes)
         except asyncio.CancelledError:
             # Raised again, the task would keep the exception with its frames, which
             # refer to the task through their timeouts, until a cycle collection.
             self.force_close()
         finally:
             self._task_handler = None
-            while self._pipelined:
-                self._take_pipelined().task.cancel()
+            self._cancel_pipelined()
             if self.transport is not None:
+                log_close_at_risk(self.transport, self._listener, "answered")
                 self.transport.close()
 
     async def _wait_until_read(self) -> bool:
@@ -255,7 +264,8 @@
         the requests behind it again. While the gateway drains, none are started, since
         the connection ends with the response to the last one that was.
         """
-        if self.server.draining:
+        last = self._last_started
+        if self.server.draining or (last is not None and last.may_be_last()):
             return
         server = self.server
         while (
@@ -277,7 +287,10 @@
             task.add_done_callback(_retrieve_exception)
             self._pipelined.append(_PipelinedRequest(request, payload, task))
             server.pipelined += 1
+            self._last_started = request
             self._consume_message()
+            if request.may_be_last():
+                return
 
     def _drop_messages(self) -> None:
         """Drop parsed requests that nobody handles; `start` looks for them again."""
@@ -291,6 +304,11 @@
             # Not raised again; see `start`.
             request.keep_alive = False
 
+    def _cancel_pipelined(self) -> None:
+        self._last_started = None
+        while self._pipelined:
+            self._take_pipelined().task.cancel()
+
     def _take_pipelined(self) -> _PipelinedRequest:
         self.server.pipelined -= 1
         return self._pipelined.popleft()
@@ -311,7 +329,6 @@
         message, payload = self._messages[0]
         self._consume_message()
         if isinstance(message, _ErrInfo):
-            self._lingering = True
             self._write_refusal(_explain_parser_error(message))
             return False
         request = HttpCallerRequest(self, message, payload)
@@ -321,8 +338,8 @@
         except RefusedError as error:
             request.keep_alive = False
             _refuse(request, error)
-            self._lingering = True
             return False
+        self._last_started = request
         self._start_pipelined()
         self._request = request
         try:
@@ -362,19 +379,8 @@
                     kind="internal",
                 )
                 _refuse(request, refusal)
-        self._lingering = self._upgraded or not payload.is_eof()
         is_kept = request.keep_alive and not self.has_long_trailers
-        return is_kept and not self._lingering
-
-    async def _linger(self) -> None:
-        if self._force_close or not (self._lingering and self.writable):
-            return
-        assert self.transport is not None
-        self._close = True
-        self._resume_transport_reading()
-        if self.transport.can_write_eof():
-            self.transport.write_eof()
-        await asyncio.sleep(LINGER_S)
+        return is_kept and not self._upgraded and payload.is_eof()
 
     def _restart_keepalive(self) -> None:
         # Otherwise aiohttp would never close an idle connection.
@@ -392,7 +398,21 @@
         if self._head_timer is not None:
             self._keepalive_handle = None
             return
-        super()._process_keepalive()
+        is_due = self._loop.time() >= self._next_keepalive_close_time
+        if is_due and self._requests and self._keepalive and not self._force_close:
+            self._keepalive_handle = None
+            self._end_idle()
+        else:
+            super()._process_keepalive()
+
+    def _end_idle(self) -> None:
+        """Close a connection without a request; the last response may be on its way."""
+        waiter = self._waiter
+        if not self._requests:
+            self.force_close()
+        elif waiter is not None and not waiter.done():
+            # Without a message, the task ends the connection.
+            waiter.set_result(None)
 
     def _reset_head_limits(self) -> None:
         self._head_bytes = 0
--- a/src/geraniumbend/adapters/_caller_request.py
+++ b/src/geraniumbend/adapters/_caller_request.py
@@ -142,6 +142,13 @@
             raise _refuse(417, "the only supported expectation is 100-continue")
         self._check_target()
 
+    def may_be_last(self) -> bool:
+        """Return whether the response may end the connection, whoever handles it.
+
+        A response without a length ends a connection of HTTP/1.0.
+        """
+        return not self.keep_alive or bool(self._message.version == HttpVersion10)
+
     async def read_body(self) -> bytes:
         """Return the next bytes of the body; empty at its end.
 
@@ -241,6 +248,7 @@
                 framing = b"Transfer-Encoding: chunked\r\n"
             else:
                 self.keep_alive = False
+                self._protocol.ends_by_close = True
         self._remaining = 0 if bodiless else length
         self._end_connection_if_due()
         if not self.keep_alive:
--- a/src/geraniumbend/adapters/_guarded_handler.py
+++ b/src/geraniumbend/adapters/_guarded_handler.py
@@ -11,6 +11,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler
 
+from geraniumbend.adapters._connection_ends import log_close_at_risk, shut_down
 from geraniumbend.adapters._connection_window import ConnectionWindow
 from geraniumbend.adapters._field_sizes import (
     count_chunks,
@@ -18,6 +19,7 @@
     measure_head,
     measure_trailers,
 )
+from geraniumbend.adapters._lingering_close import MAX_DISCARDED_BYTES, LingeringClose
 
 if TYPE_CHECKING:
     from geraniumbend.adapters._caller_guard import CallerGuard
@@ -88,6 +90,11 @@
         # Memory of the heads of the requests that are handled or wait, oldest first.
         self._heads: deque[int] = deque()
         self._heads_total = 0
+        # Whether the last response is written and the connection waits for its caller.
+        self._lingers = False
+        self._discarded = 0
+        # Whether the end of the connection is the end of the last response.
+        self.ends_by_close = False
 
     def connection_made(self, transport: Any) -> None:
         """Open the holding of the connection."""
@@ -112,6 +119,7 @@
         """Parse bytes, or the first slice of them."""
         holding = self._holding
         if self._close or self._force_close:
+            self._discarded += len(data)
             return
         if holding is None or not data:
             self.parse(data)
@@ -221,12 +229,14 @@
             held += body._size
         if self.transport is not None:
             held += self.transport.get_write_buffer_size()
-        held += UNREAD_RESPONSE_BYTES * (self._paused + self.count_waiting_responses())
+        if not self._lingers:
+            waiting = self._paused + self.count_waiting_responses()
+            held += UNREAD_RESPONSE_BYTES * waiting
         is_unread = not body.is_eof() and not (body._size or self._unparsed)
         holding.waits_for_caller = self._paused or (is_unread and not self._held_back)
         holding.rank = 2 if started or self._messages else min(self._requests, 1)
         guard.update(holding, held + CONNECTION_BYTES if held else 0)
-        if self._holding is None or self._held_back:
+        if self._holding is None or self._held_back or self._lingers:
             return
         if self._window is not None:
             self._fit_window(self._window)
@@ -269,6 +279,7 @@
         if not is_idle or transport.get_write_buffer_size():
             self.reset()
         else:
+            log_close_at_risk(transport, self._listener, "limit")
             transport.abort()
             self.force_close()
         # Their memory is needed before the loop reports that the connection is lost.
@@ -283,14 +294,50 @@
         as one without a request.
         """
         assert self._guard is not None
+        self._discard_input()
+        # It is read from now on, so its window does not matter.
+        self._window = None
+        self._holding = self._guard.reopen(self, self._source, self._listener)
+
+    async def linger(self, stall_limit_s: float, discard_limit_bytes: int = 0) -> None:
+        """Let the caller receive the last response and close the connection.
+
+        What the caller still sends is discarded. The connection's task closes the
+        connection afterwards.
+
+        Parameters
+        ----------
+        stall_limit_s : float
+            Longest time without progress while the caller has not acknowledged the
+            whole response, in seconds.
+        discard_limit_bytes : int, default=0
+            Bytes that are discarded at most, if more than by default.
+        """
+        transport = self.transport
+        if transport is None or self._force_close or transport.is_closing():
+            return
+        self._lingers = True
+        self._discard_input()
+        self._message_tail = b""
+        # It keeps the trailers of the last request until a further one begins.
+        self._parser = None
+        self._framing_bytes = 0
+        self._resume_transport_reading()
+        self.measure()
+        limit_bytes = max(discard_limit_bytes, MAX_DISCARDED_BYTES)
+        bounds = LingeringClose(stall_limit_s, limit_bytes)
+        await shut_down(transport, bounds, self._count_discarded, self.ends_by_close)
+
+    def _count_discarded(self) -> int:
+        return self._discarded
+
+    def _discard_input(self) -> None:
+        """Free what was received and is not handled; parse nothing any more."""
         self._close = True
         self._held_back = False
         self._unparsed = b""
         self._free_body()
         self._drop_messages()
-        # It is read from now on, so its window does not matter.
-        self._window = None
-        self._holding = self._guard.reopen(self, self._source, self._listener)
 
     def _free_body(self) -> None:
         body, self._last_body = self._last_body, EMPTY_PAYLOAD
@@ -308,6 +355,7 @@
         transport = self.transport
         if transport is None:
             return
+        log_close_at_risk(transport, self._listener, "reset")
         raw_socket = transport.get_extra_info("socket")
         if raw_socket is not None:
             option = struct.pack("ii", 1, 0)
--- a/src/geraniumbend/adapters/_http_listener.py
+++ b/src/geraniumbend/adapters/_http_listener.py
@@ -266,7 +266,7 @@
         if cut_off:
             log_event(203, requests=cut_off)
         for protocol in self._protocols():
-            protocol.force_close()
+            protocol.close_at_limit()
         return cut_off
 
     async def _accept_backlog(self, server: ListeningServer, limit_s: float) -> None:
--- a/src/geraniumbend/adapters/_sockets.py
+++ b/src/geraniumbend/adapters/_sockets.py
@@ -44,8 +44,20 @@
 
 def count_unread(descriptor: int) -> int | None:
     """Return the bytes that have arrived at a socket unread, None if not known."""
+    return _read_count(descriptor, termios.FIONREAD)
+
+
+def count_unacknowledged(descriptor: int) -> int | None:
+    """Return the written bytes that the peer has not acknowledged, None if not known.
+
+    The end of the stream counts as one byte.
+    """
+    return _read_count(descriptor, termios.TIOCOUTQ)
+
+
+def _read_count(descriptor: int, request: int) -> int | None:
     try:
-        count = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(COUNT.size))
+        count = fcntl.ioctl(descriptor, request, bytes(COUNT.size))
     except OSError:
         return None
     return int(COUNT.unpack(count)[0])
--- a/src/geraniumbend/adapters/management_server.py
+++ b/src/geraniumbend/adapters/management_server.py
@@ -30,9 +30,13 @@
 IDLE_TIMEOUT_S = 30.0
 # Open connections delay the end of the process by at most this time, in seconds.
 STOP_TIMEOUT_S = 0.2
+FIRST_ERROR_STATUS = 400
 BODY_TIMEOUT_S = 60.0
-# Time for which the rest of a refused request is read and discarded, in seconds.
+# Time for which the rest of a body that no handler has read is read and discarded
+# before the next request, in seconds.
 LINGER_S = 2.0
+# Longest time for which a caller receives nothing of a last response, in seconds.
+STALL_LIMIT_S = 10.0
 READ_BUFFER_BYTES = 128 * 1024
 SHARED_BODY_BYTES = 48 * 1024 * 1024
 
@@ -134,9 +138,20 @@
 
     async def _handle_request(self, *arguments: Any) -> Any:
         try:
-            return await super()._handle_request(*arguments)
+            response, is_reset = await super()._handle_request(*arguments)
         finally:
             self.note_request_end()
+        if not (response.keep_alive or is_reset):
+            await self.linger(STALL_LIMIT_S)
+        return response, is_reset
+
+    async def finish_response(
+        self, request: BaseRequest, response: Any, start_time: float | None
+    ) -> Any:
+        """Write a response; a refusal before the whole body ends the connection."""
+        if response.status >= FIRST_ERROR_STATUS and not request.content.is_eof():
+            response.force_close()
+        return await super().finish_response(request, response, start_time)
 
 
 class BodyReader:
--- a/tests/adapters/test_management_server.py
+++ b/tests/adapters/test_management_server.py
@@ -57,3 +57,19 @@
         self.assertLess(self.most_held, SHARED_BYTES + 300_000)
         self.assertEqual(self.bodies._held_bytes, 0)
         self.assertEqual(await self.send(LIMIT_BYTES, LIMIT_BYTES), 200)
+
+    async def test_caller_that_sends_its_whole_body_gets_the_refusal(self):
+        """Guards against a reset in place of the refusal of a long, slow upload."""
+        size = 20 * LIMIT_BYTES
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self.addCleanup(writer.close)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+        writer.write(head + b"x" * 2 * LIMIT_BYTES)
+        for _ in range(18):
+            await asyncio.sleep(0.15)
+            writer.write(b"x" * LIMIT_BYTES)
+            await writer.drain()
+        async with asyncio.timeout(3.0):
+            received = await reader.read()
+        self.assertTrue(received.startswith(b"HTTP/1.1 413"), received)
+        self.assertIn(b"Connection: close", received)
--- a/tests/adapters/test_operators_api.py
+++ b/tests/adapters/test_operators_api.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import ssl
 import tempfile
 import unittest
@@ -222,6 +223,21 @@
         )
         self.assertEqual(await self.send("GET", "/v1/state"), (200, {"node": "c1"}))
 
+    async def test_caller_that_sends_its_whole_body_gets_the_refusal(self):
+        """Guards against a reset in place of the refusal of a long, slow upload."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.api.port)
+        self.addCleanup(writer.close)
+        pieces, size = 12, 4 * 1024 * 1024
+        head = b"POST /v1/diff HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        writer.write(head % (pieces * size))
+        for _ in range(pieces):
+            writer.write(b"x" * size)
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        async with asyncio.timeout(5.0):
+            received = await reader.read()
+        self.assertRegex(received[:20], rb"HTTP/1.1 4\d\d")
+
     async def test_malformed_requests_get_problem_documents(self):
         for method, path, body, status in (
             ("POST", "/v1/configuration", [1], 422),
