Replace failures that callers take for the promise of not having run

What callers saw: servers that fail orders with 503 after they have begun them.

Cause: only refusals of the gateway itself were checked against the statuses that are a promise; the response of the last attempt was relayed, or stored for an order, whatever its status.

Ruled out: a second attempt by the gateway; the second copies bear new request ids.

Change: one function decides for all paths which statuses may be sent for a request that may have run. A server's failure that would be a false promise is replaced by the gateway's own 502 with run: unknown, without the server's fields; its body is not read. Repeatable requests get the server's status, body and signature unchanged.

--- a/src/geraniumbend/proxying/_order_executor.py
+++ b/src/geraniumbend/proxying/_order_executor.py
@@ -10,6 +10,7 @@
 
 from geraniumbend.errors import RefusedError
 from geraniumbend.proxying._ports import UpstreamError
+from geraniumbend.proxying._promises import check_status
 from geraniumbend.proxying._relay import list_response_lines
 
 if TYPE_CHECKING:
@@ -127,6 +128,8 @@
         claim = await self._claim(context, key, caller)
         if claim.state == "completed":
             stored = msgspec.msgpack.decode(claim.response, type=StoredResponse)
+            # An earlier version may have stored it.
+            check_status(context, stored.status)
             return await self._send(context, stored)
         running = asyncio.ensure_future(self._run(context, claim, fetch))
         self._running.add(running)
--- a/src/geraniumbend/proxying/_proxy.py
+++ b/src/geraniumbend/proxying/_proxy.py
@@ -23,6 +23,7 @@
 from geraniumbend.proxying._latencies import HeadLatencies
 from geraniumbend.proxying._order_executor import OrderExecutor
 from geraniumbend.proxying._ports import CallerLostError, UpstreamError
+from geraniumbend.proxying._promises import check_status, may_send_status
 from geraniumbend.proxying._relay import relay
 from geraniumbend.proxying._request_log import RequestLog
 from geraniumbend.routing import GroupSplitter, Outcome, RequestProperties, RuleTable
@@ -561,6 +562,7 @@
             attempt = await self._fetch(context, ticket)
             assert attempt.response is not None
             status = attempt.response.status
+            self._check_response(context, attempt)
             if context.request.is_behind():
                 # The response waits for the caller to read earlier ones, perhaps for
                 # long; others may be served meanwhile.
@@ -571,6 +573,21 @@
             latency_s = timers.now() - started_s
             ticket.release(Outcome(status, latency_s, 0.0, not status))
 
+    def _check_response(self, context: RequestContext, attempt: Attempt) -> None:
+        """End an attempt whose status would be a false promise; its body is not read.
+
+        Raises
+        ------
+        RefusedError
+            In place of the response.
+        """
+        assert attempt.response is not None
+        try:
+            check_status(context, attempt.response.status)
+        except RefusedError:
+            self._attempts.finish(attempt, context)
+            raise
+
     async def _fetch(self, context: RequestContext, ticket: TicketPort) -> Attempt:
         try:
             return await self._attempts.fetch(context)
@@ -599,7 +616,7 @@
     ) -> RefusedError:
         if context.unresolved_attempts:
             error.run = "unknown"
-            if error.status in context.dialect.not_run_statuses:
+            if not may_send_status(context.dialect, error.status, may_have_run=True):
                 error.status, error.retry_after_s = 502, None
         now = self._parts.timers.now()
         share = context.dialect.honoured_share
