Apply quarantine records of a gateway's earlier process

Cause: the quarantine ignored records that bear the own node's name. Peers hand a restarted gateway its own records; the store had them, and the quarantine did not.

Ruled out: records that do not come back or come too late; they are in the store after the first synchronisation.

Change: such a record is applied like a peer's. A node that replaces a record of an earlier process sends it to its owner, which publishes the losses of both.

--- a/src/geraniumbend/membership/_published_records.py
+++ b/src/geraniumbend/membership/_published_records.py
@@ -6,7 +6,9 @@
 
 from geraniumbend.errors import ProtocolError
 from geraniumbend.membership._byte_budget import ByteBudget
+from geraniumbend.membership._gossip import GOSSIP
 from geraniumbend.membership._records import (
+    ACCUMULATED_KINDS,
     EPHEMERAL_KINDS,
     LIVE,
     LOAD,
@@ -147,12 +149,16 @@
             return self._merge_load(record)
         entry = self._table.get(*record.identity)
         if entry is not None and record.order <= entry.record.order:
+            if record.owner == self._members.name:
+                self._deliver_earlier(record, entry.record)
             return False
         if record.owner == self._members.name:
             self._supersede_earlier_version(record)
             return False
         if record.lifetime_s <= 0 and record.state == LIVE:
             return False
+        if entry is not None:
+            self._return_earlier(entry.record, record)
         self._store(record)
         self._gossip.enqueue(record)
         return True
@@ -291,7 +297,34 @@
         if record.major >= self._members.incarnation:
             self._members.raise_incarnation(record.major)
         if entry is not None and entry.record.state == LIVE:
+            self._deliver_earlier(record, entry.record)
+            entry = self._table.get(*record.identity)
+            if entry is None or entry.record.order > record.order:
+                # A subscriber has published what both versions contain.
+                return
             remaining = self.lifetime(entry.record)
             self._write_record(record.kind, record.key, entry.record.value, remaining)
         elif record.lifetime_s > 0 or record.state != LIVE:
             self._store(record)
+
+    def _deliver_earlier(self, earlier: Record, own: Record) -> None:
+        """Tell subscribers what this node published before it was restarted.
+
+        The version that it has published since replaces the earlier one everywhere,
+        which it had not heard of then. Subscribers know what both mean together.
+        """
+        if earlier.lifetime_s > 0 and _is_of_earlier_process(earlier, own):
+            self.deliver(earlier.kind, earlier.owner, earlier.key, earlier.value)
+
+    def _return_earlier(self, earlier: Record, newer: Record) -> None:
+        """Send a node that was restarted the record that it is about to replace."""
+        owner = self._members.members.get(earlier.owner)
+        if owner is not None and _is_of_earlier_process(earlier, newer):
+            record = earlier._replace(lifetime_s=self.lifetime(earlier))
+            self._gossip.send(GOSSIP, owner.address, records=[record])
+
+
+def _is_of_earlier_process(earlier: Record, newer: Record) -> bool:
+    """Tell whether a record of its owner's earlier process still has a meaning."""
+    is_accumulated = earlier.kind in ACCUMULATED_KINDS and earlier.state == LIVE
+    return is_accumulated and earlier.major != newer.major
--- a/src/geraniumbend/membership/_records.py
+++ b/src/geraniumbend/membership/_records.py
@@ -31,6 +31,9 @@
 DOMAIN_SCOPED_KINDS = frozenset({*SUM_KINDS, *SUM_KINDS.values()})
 # Kinds whose writers supersede them within seconds, so anti-entropy skips them.
 EPHEMERAL_KINDS = frozenset({LOAD, *SUM_KINDS, *SUM_KINDS.values()})
+# Kinds whose records accumulate: what a node published before its restart holds on
+# beside what it has published since.
+ACCUMULATED_KINDS = frozenset({"quarantine"})
 LIVE, WITHDRAWN = 0, 1
 # In clusters of more nodes, announced loads are sent only within a failure domain.
 DOMAIN_SCOPE_NODES = 64
--- a/src/geraniumbend/quarantine/_quarantine.py
+++ b/src/geraniumbend/quarantine/_quarantine.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import OrderedDict
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 from geraniumbend.errors import GeraniumbendError, ProtocolError, RefusedError
 from geraniumbend.logs import declare_event, log_event
@@ -35,6 +35,9 @@
 # A trial on another gateway counts as ended after this time, in seconds, because that
 # gateway may have crashed.
 TRIAL_LIFETIME_S = 30.0
+# Losses of a request that a record names at most, the latest ones; a record has room
+# for 900 bytes, and two losses are enough to refuse the request.
+MAX_PUBLISHED_LOSSES = 8
 
 declare_event(
     410,
@@ -233,12 +236,8 @@
         server = self._membership.servers().get(server_id)
         loss = f"{server_id}/{server.incarnation if server else 0}"
         self._add_loss(fingerprint, loss)
-        losses = self._suspect_requests.losses(fingerprint)
-        record = load_structs("quarantine").QuarantineRecord(losses=list(losses))
         try:
-            self._membership.publish(
-                RECORD_KIND, fingerprint, encode(record), ENTRY_LIFETIME_S
-            )
+            self._publish(fingerprint)
         finally:
             await self._notify_peers("loss", fingerprint, loss)
             self.end_run(fingerprint)
@@ -250,8 +249,7 @@
         if len(self._recent_successes) > MAX_RECENT_SUCCESSES:
             self._recent_successes.popitem(last=False)
         if fingerprint in self._suspect_requests:
-            self._clear(fingerprint)
-            self._notify_in_background("clear", fingerprint)
+            self._clear_everywhere(fingerprint)
         self.end_run(fingerprint)
 
     def entries(self) -> list[QuarantineEntry]:
@@ -275,8 +273,7 @@
             Whether the request was suspected or quarantined.
         """
         known = fingerprint in self._suspect_requests
-        self._clear(fingerprint)
-        self._notify_in_background("clear", fingerprint)
+        self._clear_everywhere(fingerprint)
         return known
 
     def _add_loss(self, fingerprint: str, loss: str) -> None:
@@ -286,11 +283,36 @@
             losses = self._suspect_requests.losses(fingerprint)
             log_event(410, fingerprint=fingerprint, servers=list(losses))
 
+    def _clear_everywhere(self, fingerprint: str) -> None:
+        """Clear a request; publish which losses do not count any more.
+
+        A gateway that is down hears no notice. When it comes back, others still hold
+        the losses that it published.
+        """
+        self._clear(fingerprint)
+        self._publish(fingerprint)
+        self._notify_in_background("clear", fingerprint)
+
     def _clear(self, fingerprint: str) -> None:
         self._claims.pop(fingerprint, None)
         if self._suspect_requests.clear(fingerprint):
             log_event(411, fingerprint=fingerprint)
         if (self._node, fingerprint) in self._membership.records(RECORD_KIND):
+            self._publish(fingerprint)
+
+    def _publish(self, fingerprint: str) -> None:
+        """Publish what is known of a request; withdraw the record if nothing is."""
+        losses = self._suspect_requests.losses(fingerprint)
+        cleared = self._suspect_requests.list_cleared_losses(fingerprint)
+        record = load_structs("quarantine").QuarantineRecord(
+            losses=list(losses[-MAX_PUBLISHED_LOSSES:]),
+            cleared=list(cleared[-MAX_PUBLISHED_LOSSES:]),
+        )
+        if losses or cleared:
+            self._membership.publish(
+                RECORD_KIND, fingerprint, encode(record), ENTRY_LIFETIME_S
+            )
+        else:
             self._membership.publish(RECORD_KIND, fingerprint, b"", 0)
 
     def _claimed_by_peer(self, fingerprint: str) -> bool:
@@ -353,14 +375,37 @@
                 self._claims.pop(notice.fingerprint, None)
 
     def _apply_record(self, node: str, key: str, value: bytes | None) -> None:
-        if node == self._node or not value or self._suspect_requests.was_cleared(key):
+        """Apply the record of a gateway, also of an earlier process of this one.
+
+        What this gateway published before it was restarted is known only from records
+        that the others have kept.
+        """
+        if not value:
             return
         try:
             record = decode(load_structs("quarantine").QuarantineRecord, value)
         except GeraniumbendError:
             return
-        for loss in record.losses:
-            self._add_loss(key, loss)
+        suspects = self._suspect_requests
+        if record.cleared:
+            suspects.forget_losses(key, record.cleared)
+        if not suspects.was_cleared(key):
+            cleared = suspects.list_cleared_losses(key)
+            for loss in record.losses:
+                if loss not in cleared:
+                    self._add_loss(key, loss)
+        if node == self._node:
+            self._complete_own_record(key, record)
+
+    def _complete_own_record(self, fingerprint: str, heard: Any) -> None:
+        """Publish again if an earlier process knew of losses that the record lacks."""
+        value = self._membership.records(RECORD_KIND).get((self._node, fingerprint))
+        if not value:
+            return
+        known = decode(load_structs("quarantine").QuarantineRecord, value)
+        told = {*known.losses, *known.cleared}
+        if not told.issuperset((*heard.losses, *heard.cleared)):
+            self._publish(fingerprint)
 
 
 def _build_trial_refusal() -> RefusedError:
--- a/src/geraniumbend/quarantine/_suspect_requests.py
+++ b/src/geraniumbend/quarantine/_suspect_requests.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from geraniumbend.timers import TimerService
 
 # Lost servers at which a request is quarantined.
@@ -39,6 +41,8 @@
         self._timers = timers
         self._entries: dict[str, _SuspectRequest] = {}
         self._cleared: dict[str, float] = {}
+        # Times by fingerprint and loss.
+        self._cleared_losses: dict[str, dict[str, float]] = {}
 
     def __contains__(self, fingerprint: object) -> bool:
         """Tell whether a server was lost while running a request."""
@@ -46,6 +50,7 @@
 
     def add(self, fingerprint: str, loss: str) -> None:
         """Record a lost server; the same server and incarnation counts once."""
+        self._cleared_losses.get(fingerprint, {}).pop(loss, None)
         entry = self._find(fingerprint)
         if entry is None:
             if len(self._entries) >= MAX_FINGERPRINTS:
@@ -70,7 +75,10 @@
         return entry.expiry - self._timers.now() if entry is not None else 0.0
 
     def clear(self, fingerprint: str) -> bool:
-        """Remove a fingerprint and tell whether it was recorded."""
+        """Remove a fingerprint and tell whether it was recorded.
+
+        Its losses are remembered for as long as records of them may exist.
+        """
         now = self._timers.now()
         self._cleared = {
             name: cleared_at
@@ -78,8 +86,28 @@
             if now - cleared_at < CLEARED_MEMORY_S
         }
         self._cleared[fingerprint] = now
+        self.forget_losses(fingerprint, self.losses(fingerprint))
         return self._entries.pop(fingerprint, None) is not None
 
+    def forget_losses(self, fingerprint: str, losses: Iterable[str]) -> None:
+        """Let losses of a fingerprint not count any more, also if records name them."""
+        self._drop_expired_losses()
+        entry = self._find(fingerprint)
+        for loss in losses:
+            cleared = self._cleared_losses.setdefault(fingerprint, {})
+            cleared[loss] = self._timers.now()
+            if entry is not None:
+                entry.losses.pop(loss, None)
+        if entry is not None and not entry.losses:
+            del self._entries[fingerprint]
+        while len(self._cleared_losses) > MAX_FINGERPRINTS:
+            self._cleared_losses.pop(next(iter(self._cleared_losses)))
+
+    def list_cleared_losses(self, fingerprint: str) -> tuple[str, ...]:
+        """Return the losses of a fingerprint that do not count any more."""
+        self._drop_expired_losses()
+        return tuple(self._cleared_losses.get(fingerprint, ()))
+
     def was_cleared(self, fingerprint: str) -> bool:
         """Tell whether a fingerprint was cleared in the last ``CLEARED_MEMORY_S``."""
         cleared_at = self._cleared.get(fingerprint, -math.inf)
@@ -89,6 +117,15 @@
         """Return all fingerprints that have not expired."""
         return [name for name in list(self._entries) if name in self]
 
+    def _drop_expired_losses(self) -> None:
+        oldest_s = self._timers.now() - ENTRY_LIFETIME_S
+        for name, cleared in list(self._cleared_losses.items()):
+            for loss, cleared_at in list(cleared.items()):
+                if cleared_at < oldest_s:
+                    del cleared[loss]
+            if not cleared:
+                del self._cleared_losses[name]
+
     def _find(self, fingerprint: object) -> _SuspectRequest | None:
         entry = self._entries.get(fingerprint)  # type: ignore[call-overload]
         if entry is not None and self._timers.now() >= entry.expiry:
--- a/src/geraniumbend/wire/_specs.py
+++ b/src/geraniumbend/wire/_specs.py
@@ -465,7 +465,10 @@
             },
             [("action", ""), ("fingerprint", ""), ("loss", "")],
         ),
-        "QuarantineRecord": ({1: (15, "losses", 11, False)}, [("losses", [])]),
+        "QuarantineRecord": (
+            {1: (15, "losses", 11, False), 2: (15, "cleared", 11, False)},
+            [("losses", []), ("cleared", [])],
+        ),
     },
     "replication": {
         "WireMember": (
--- a/src/geraniumbend/wire/quarantine.thrift
+++ b/src/geraniumbend/wire/quarantine.thrift
@@ -7,7 +7,11 @@
   3: string loss = ""
 }
 
-/** Lost servers (`id/incarnation`) that one gateway observed for one fingerprint. */
+/**
+ * Lost servers (`id/incarnation`) of one fingerprint that one gateway knows of, and those
+ * that do not count any more since the fingerprint was cleared.
+ */
 struct QuarantineRecord {
   1: list<string> losses = []
+  2: list<string> cleared = []
 }
