Apply limits and warm-ups that a restarted allocator published itself

What happens: an allocator that is killed and starts under its name knew neither the limits nor the warm-ups of its servers, though its peers keep its records. Until a server names its limit again, or is probed, the gateway sends requests to it as to an unlimited or warm one.

Change: the own record counts while nothing is known of the server. It renews nothing that is known.

--- a/src/geraniumbend/limits/_permit_exchange.py
+++ b/src/geraniumbend/limits/_permit_exchange.py
@@ -278,8 +278,12 @@
         self._accept(known, grant.permits, grant.hold_off_s)
 
     def _handle_record(self, node: str, server_id: str, value: bytes | None) -> None:
-        """Apply the limit that the allocator of a server published."""
-        if node == self._membership.name:
+        """Apply the limit that the allocator of a server published.
+
+        The own record counts only while nothing is known of the server: then an earlier
+        process of this gateway has published it, and its peers have kept it.
+        """
+        if node == self._membership.name and self._table.get(server_id) is not None:
             return
         if value is None:
             # It may have passed to another allocator. Whether the limit has ended is in
--- a/src/geraniumbend/limits/_warmup_exchange.py
+++ b/src/geraniumbend/limits/_warmup_exchange.py
@@ -155,8 +155,16 @@
         self._membership.spread_now()
 
     def _handle_record(self, node: str, server_id: str, value: bytes | None) -> None:
-        """Apply what the allocator of a server published about its warm-up."""
-        if node == self._membership.name or value is None:
+        """Apply what the allocator of a server published about its warm-up.
+
+        The own record counts only while no warm-up of the server is known: then an
+        earlier process of this gateway has published it, and its peers have kept it.
+        """
+        if value is None:
+            return
+        known = self._table.get(server_id)
+        is_known = known is not None and known.warmup is not None
+        if node == self._membership.name and is_known:
             return
         try:
             warmup = read_warmup(value)
