Let the soak's servers fail with statuses that callers take for a promise

Half of the requests of a server in the mode "errors" now get one of 500, 502, 503, 429 and 408 after they have run.

Invariant: a safe request that has run may get the server's 503, 429 or 408, which is passed on unchanged, and may then run again as a retry; the rule REFUSED speaks of requests that are not idempotent. For those and for requests that have not run, the check is as strict as before.

--- a/bench/_soak_invariants.py
+++ b/bench/_soak_invariants.py
@@ -81,13 +81,14 @@
         self.statuses[f"{status} {target.split('/')[1]}"] += 1
         if status == 200 and body != expected_body(request_id, target):
             self.report("wrong_response", f"{request_id} {target} got {body[:80]!r}")
-        if status in NOT_RUN_STATUSES:
+        if status not in NOT_RUN_STATUSES:
+            return
+        runs = self.runs.get(request_id)
+        if not runs:
             self._refused[request_id] = status
-            is_unsafe = "/unsafe/" in target
-            if is_unsafe and request_id in self.runs:
-                self.report(
-                    "refused", f"status {status} despite {self.runs[request_id]}"
-                )
+        elif "/unsafe/" in target:
+            # The status of a server that has run a safe request is passed on.
+            self.report("refused", f"status {status} despite {runs}")
 
     def find_server(self, request_id: str) -> str:
         """Return the server at which a request last began to run, empty if at none."""
--- a/bench/_soak_servers.py
+++ b/bench/_soak_servers.py
@@ -21,6 +21,7 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 DRAIN_TIME_S = 2.0
 ZONES = ("a", "b", "c")
+FAILURES = (500, 500, 502, 503, 429, 408)
 
 
 class Run(NamedTuple):
@@ -85,7 +86,8 @@
     limit_per_s : float or None
         Limit that all responses name, in requests a second.
     mode : str
-        ``normal``, ``slow``, ``errors`` (half of the requests get status 500), ``drop``
+        ``normal``, ``slow``, ``errors`` (half of the requests run and get one of
+        `FAILURES`, without the statement that they have not run), ``drop``
         (some connections are closed after a run without a response), ``shed``
         (requests are refused as not run) or ``duplicate`` (some responses are sent
         twice).
@@ -256,7 +258,8 @@
         failed = self.mode == "errors" and self._random.random() < 0.5
         signature = "Geraniumbend-Response-Signature: s\r\n"
         body = "" if failed else expected_body(request_id, target)
-        self._write(writer, 500 if failed else 200, body, request_id, signature)
+        status = self._random.choice(FAILURES) if failed else 200
+        self._write(writer, status, body, request_id, signature)
         if self.mode == "duplicate" and self._random.random() < 0.2:
             await writer.drain()
             await asyncio.sleep(self._random.choice((0.0, 0.02)))
