Publish a clear of the quarantine once, and only of known requests

Change: one publication; none for an unknown fingerprint; clears are kept in the order of their time, so that only expired ones are looked at; the event is logged on each process that clears a request.

--- a/src/geraniumbend/quarantine/_quarantine.py
+++ b/src/geraniumbend/quarantine/_quarantine.py
@@ -290,15 +290,18 @@
         the losses that it published.
         """
         self._clear(fingerprint)
-        self._publish(fingerprint)
+        is_known = bool(self._suspect_requests.list_cleared_losses(fingerprint))
+        if is_known or self._has_record(fingerprint):
+            self._publish(fingerprint)
         self._notify_in_background("clear", fingerprint)
 
     def _clear(self, fingerprint: str) -> None:
         self._claims.pop(fingerprint, None)
         if self._suspect_requests.clear(fingerprint):
             log_event(411, fingerprint=fingerprint)
-        if (self._node, fingerprint) in self._membership.records(RECORD_KIND):
-            self._publish(fingerprint)
+
+    def _has_record(self, fingerprint: str) -> bool:
+        return (self._node, fingerprint) in self._membership.records(RECORD_KIND)
 
     def _publish(self, fingerprint: str) -> None:
         """Publish what is known of a request; withdraw the record if nothing is."""
@@ -364,6 +367,8 @@
             self._add_loss(notice.fingerprint, notice.loss)
         elif notice.action == "clear":
             self._clear(notice.fingerprint)
+            if self._has_record(notice.fingerprint):
+                self._publish(notice.fingerprint)
         elif notice.action == "claim":
             self._drop_expired_claims()
             claims = self._claims.setdefault(notice.fingerprint, {})
@@ -387,8 +392,8 @@
         except GeraniumbendError:
             return
         suspects = self._suspect_requests
-        if record.cleared:
-            suspects.forget_losses(key, record.cleared)
+        if record.cleared and suspects.forget_losses(key, record.cleared):
+            log_event(411, fingerprint=key)
         if not suspects.was_cleared(key):
             cleared = suspects.list_cleared_losses(key)
             for loss in record.losses:
--- a/src/geraniumbend/quarantine/_suspect_requests.py
+++ b/src/geraniumbend/quarantine/_suspect_requests.py
@@ -41,8 +41,8 @@
         self._timers = timers
         self._entries: dict[str, _SuspectRequest] = {}
         self._cleared: dict[str, float] = {}
-        # Times by fingerprint and loss.
-        self._cleared_losses: dict[str, dict[str, float]] = {}
+        # Losses and the time of the last clear by fingerprint, oldest clear first.
+        self._cleared_losses: dict[str, tuple[dict[str, None], float]] = {}
 
     def __contains__(self, fingerprint: object) -> bool:
         """Tell whether a server was lost while running a request."""
@@ -50,7 +50,8 @@
 
     def add(self, fingerprint: str, loss: str) -> None:
         """Record a lost server; the same server and incarnation counts once."""
-        self._cleared_losses.get(fingerprint, {}).pop(loss, None)
+        if fingerprint in self._cleared_losses:
+            self._cleared_losses[fingerprint][0].pop(loss, None)
         entry = self._find(fingerprint)
         if entry is None:
             if len(self._entries) >= MAX_FINGERPRINTS:
@@ -86,27 +87,34 @@
             if now - cleared_at < CLEARED_MEMORY_S
         }
         self._cleared[fingerprint] = now
-        self.forget_losses(fingerprint, self.losses(fingerprint))
-        return self._entries.pop(fingerprint, None) is not None
+        return self.forget_losses(fingerprint, self.losses(fingerprint))
 
-    def forget_losses(self, fingerprint: str, losses: Iterable[str]) -> None:
-        """Let losses of a fingerprint not count any more, also if records name them."""
-        self._drop_expired_losses()
+    def forget_losses(self, fingerprint: str, losses: Iterable[str]) -> bool:
+        """Let losses not count any more, also if records name them.
+
+        Returns
+        -------
+        bool
+            Whether the fingerprint was recorded and has no other losses.
+        """
+        names = dict.fromkeys((*self.list_cleared_losses(fingerprint), *losses))
+        self._cleared_losses.pop(fingerprint, None)
+        if names:
+            self._cleared_losses[fingerprint] = names, self._timers.now()
         entry = self._find(fingerprint)
-        for loss in losses:
-            cleared = self._cleared_losses.setdefault(fingerprint, {})
-            cleared[loss] = self._timers.now()
-            if entry is not None:
-                entry.losses.pop(loss, None)
-        if entry is not None and not entry.losses:
-            del self._entries[fingerprint]
-        while len(self._cleared_losses) > MAX_FINGERPRINTS:
-            self._cleared_losses.pop(next(iter(self._cleared_losses)))
+        if entry is None:
+            return False
+        for loss in names:
+            entry.losses.pop(loss, None)
+        if entry.losses:
+            return False
+        del self._entries[fingerprint]
+        return True
 
     def list_cleared_losses(self, fingerprint: str) -> tuple[str, ...]:
         """Return the losses of a fingerprint that do not count any more."""
-        self._drop_expired_losses()
-        return tuple(self._cleared_losses.get(fingerprint, ()))
+        self._drop_oldest_clears()
+        return tuple(self._cleared_losses.get(fingerprint, ((), 0.0))[0])
 
     def was_cleared(self, fingerprint: str) -> bool:
         """Tell whether a fingerprint was cleared in the last ``CLEARED_MEMORY_S``."""
@@ -117,14 +125,14 @@
         """Return all fingerprints that have not expired."""
         return [name for name in list(self._entries) if name in self]
 
-    def _drop_expired_losses(self) -> None:
+    def _drop_oldest_clears(self) -> None:
         oldest_s = self._timers.now() - ENTRY_LIFETIME_S
-        for name, cleared in list(self._cleared_losses.items()):
-            for loss, cleared_at in list(cleared.items()):
-                if cleared_at < oldest_s:
-                    del cleared[loss]
-            if not cleared:
-                del self._cleared_losses[name]
+        while self._cleared_losses:
+            fingerprint = next(iter(self._cleared_losses))
+            is_expired = self._cleared_losses[fingerprint][1] < oldest_s
+            if not is_expired and len(self._cleared_losses) <= MAX_FINGERPRINTS:
+                return
+            del self._cleared_losses[fingerprint]
 
     def _find(self, fingerprint: object) -> _SuspectRequest | None:
         entry = self._entries.get(fingerprint)  # type: ignore[call-overload]
--- a/tests/quarantine/test_quarantine.py
+++ b/tests/quarantine/test_quarantine.py
@@ -115,6 +115,14 @@
             gateway.check("p")
         self.join("late").check("p")
 
+    async def test_each_gateway_logs_that_it_cleared_a_request(self):
+        await self.gateways[0].report_loss("p", "s0")
+        with self.assertLogs("geraniumbend", "INFO") as logs:
+            self.gateways[1].clear("p")
+            await self.timers.advance(0)
+        cleared = [line for line in logs.output if "request_cleared" in line]
+        self.assertEqual(len(cleared), 3)
+
     async def test_copies_through_several_gateways_run_one_at_a_time(self):
         await self.gateways[0].report_loss("p", "s0")
         results = await asyncio.gather(
--- a/tests/quarantine/test_restarts.py
+++ b/tests/quarantine/test_restarts.py
@@ -162,6 +162,13 @@
             self.assertEqual(suspects.list_cleared_losses(POISON), ())
             self.assertEqual(suspects._cleared_losses, {})
 
+    async def test_clear_of_an_unknown_request_leaves_no_record(self):
+        """Guards against records for each mistyped fingerprint."""
+        self.gateways["g0"].clear("unknown")
+        await self.advance()
+        table = self.cluster.nodes["g0"]._table
+        self.assertIsNone(table.get(RECORD_KIND, "g0", "unknown"))
+
     async def test_request_that_succeeded_stays_cleared_on_a_restarted_gateway(self):
         """Guards against an innocent request that one restart makes suspect again."""
         await self.lose("g2", "s0", "innocent")
