--- a/src/geraniumbend/proxying/__init__.py
+++ b/src/geraniumbend/proxying/__init__.py
@@ -36,7 +36,8 @@
         UpstreamRequest,
         UpstreamResponse,
     )
-    from geraniumbend.proxying._proxy import Proxy, ProxyParts
+    from geraniumbend.proxying._proxy import Proxy
+    from geraniumbend.proxying._proxy_parts import ProxyParts
     from geraniumbend.proxying._refusals import (
         describe_refusal,
         describe_status,
@@ -79,10 +80,8 @@
                 "UpstreamRequest",
                 "UpstreamResponse",
             ),
-            "_proxy": (
-                "Proxy",
-                "ProxyParts",
-            ),
+            "_proxy": ("Proxy",),
+            "_proxy_parts": ("ProxyParts",),
             "_refusals": (
                 "describe_refusal",
                 "describe_status",
--- a/src/geraniumbend/quarantine/__init__.py
+++ b/src/geraniumbend/quarantine/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
-from geraniumbend.quarantine._quarantine import Quarantine, QuarantineEntry
+from geraniumbend.quarantine._ports import QuarantineEntry
+from geraniumbend.quarantine._quarantine import Quarantine
 
 __all__ = ["Quarantine", "QuarantineEntry"]
