Read the clock once at the idle timeout of a caller's connection

Cause: the protocol compared the time with the end of the idle timeout, and aiohttp did again. Timers of uvloop have a resolution of a millisecond, and its clock is not cached, so the time may pass between the two readings; aiohttp then closes the connection at once.

Change: one reading decides. A test with a clock that passes the time between two readings fails before and passes now.

--- a/src/geraniumbend/adapters/_caller_protocol.py
+++ b/src/geraniumbend/adapters/_caller_protocol.py
@@ -394,16 +394,24 @@
             )
 
     def _process_keepalive(self) -> None:
-        """Close an idle connection, but not one whose next head has begun."""
-        if self._head_timer is not None:
-            self._keepalive_handle = None
+        """End an idle connection, but not one whose next head has begun.
+
+        Before the first response, aiohttp closes it.
+        """
+        if self._requests == 0:
+            super()._process_keepalive()
             return
-        is_due = self._loop.time() >= self._next_keepalive_close_time
-        if is_due and self._requests and self._keepalive and not self._force_close:
-            self._keepalive_handle = None
-            self._end_idle()
+        self._keepalive_handle = None
+        if self._head_timer is not None or self._force_close or not self._keepalive:
+            return
+        close_time = self._next_keepalive_close_time
+        # Read once: the clock may pass the time between two readings.
+        if self._loop.time() < close_time:
+            self._keepalive_handle = self._loop.call_at(
+                close_time, self._process_keepalive
+            )
         else:
-            super()._process_keepalive()
+            self._end_idle()
 
     def _end_idle(self) -> None:
         """Close a connection without a request; the last response may be on its way."""
--- a/tests/proxying/test_closing.py
+++ b/tests/proxying/test_closing.py
@@ -13,6 +13,7 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from geraniumbend.adapters._lingering_close import LINGER_S
 from geraniumbend.adapters.http_listener import HttpListener, Limits
@@ -106,6 +107,22 @@
     async def test_response_before_the_idle_timeout_arrives(self):
         await self.check(GET % 1, limits=Limits(idle_timeout_s=STEP_S / 4))
 
+    async def test_idle_timeout_that_passes_while_it_is_checked(self):
+        """Guards against a plain close by a second reading of the clock."""
+        async with ScriptedBackend(reply()) as backend, DataPath(backend) as path:
+            reader, writer = await path.connect()
+            self.addCleanup(writer.close)
+            writer.write(GET % 1)
+            await reader.readuntil(b"ok")
+            (protocol,) = path.listener._server.connections
+            due_s = protocol._next_keepalive_close_time
+            clock = mock.Mock(wraps=protocol._loop)
+            clock.time.side_effect = [due_s - 0.001, due_s + 0.001]
+            with mock.patch.object(protocol, "_loop", clock):
+                protocol._process_keepalive()
+            clock.call_at.assert_called_with(due_s, protocol._process_keepalive)
+            self.assertFalse(protocol.transport.is_closing())
+
     async def test_response_before_the_end_of_an_idle_connection_in_a_stop_arrives(
         self,
     ):
